--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools."""
--- /dev/null
+++ b/bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the upstreams and the platform store."""
--- /dev/null
+++ b/jasminebeam/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which requests a sidecar accepts."""
--- /dev/null
+++ b/jasminebeam/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/jasminebeam/callers/dispatcher.py
@@ -0,0 +1,325 @@
+"""Ingress role: carries one request through its attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import typing
+
+from jasminebeam.retries import budget
+from jasminebeam.retries import policy
+from jasminebeam.retries import quantile
+from jasminebeam.routing import table
+from jasminebeam.telemetry import events
+from jasminebeam import verdict
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from jasminebeam.model import requests
+    from jasminebeam.model import services
+    from jasminebeam.peering import peers
+    from jasminebeam.routing import selection
+    from jasminebeam.telemetry import metrics
+
+HEDGE_QUANTILE = 0.95
+FIRST_HEDGE_MS = 50.0
+MIN_HEDGE_MS = 2.0
+CANCEL_GRACE_S = 0.05
+RETRY_BURST = 10.0
+HEDGE_BURST = 5.0
+
+
+class PeerSource(typing.Protocol):
+    """Gives access to the sidecars."""
+
+    def peer(self, node_id: str, address: str) -> peers.Peer:
+        """Return the peer of a node."""
+
+
+@dataclasses.dataclass(slots=True)
+class _ServiceBudgets:
+    retries: budget.RatioBudget
+    hedges: budget.RatioBudget
+    latency: quantile.QuantileEstimate
+    ratios: tuple[float, float]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Sending:
+    token: int
+    state: table.UpstreamState
+    peer: peers.Peer
+    attempt: peers.Attempt
+    hedge: bool
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Progress:
+    call: requests.Call
+    service: services.Service
+    budgets: _ServiceBudgets
+    started_ms: float
+    attempts: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sendings: dict[asyncio.Future[verdict.Verdict], _Sending] = (
+        dataclasses.field(default_factory=dict)
+    )
+    hedged: bool = False
+    may_have_run: verdict.Verdict | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clocks:
+    """Sources of monotonic and wall-clock time in ms."""
+
+    monotonic_ms: typing.Callable[[], float]
+    wall_ms: typing.Callable[[], float]
+
+
+class Dispatcher:
+    """Chooses upstreams, sends, retries and hedges.
+
+    Parameters
+    ----------
+    selector : Selector
+        Chooses the upstreams.
+    source : PeerSource
+        Gives access to the sidecars.
+    generator : random.Random
+        Source of jitter.
+    clocks : Clocks
+        Sources of time.
+    log, counters
+        Receive ejections, retries and hedges.
+    """
+
+    def __init__(
+        self,
+        selector: selection.Selector,
+        source: PeerSource,
+        generator: random.Random,
+        clocks: Clocks,
+        log: events.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._selector = selector
+        self._source = source
+        self._generator = generator
+        self._clocks = clocks
+        self._log = log
+        self._counters = counters
+        self._tokens = itertools.count(1)
+        self._budgets: dict[str, _ServiceBudgets] = {}
+
+    async def dispatch(
+        self, call: requests.Call, service: services.Service
+    ) -> verdict.Verdict:
+        """Return the verdict on a request.
+
+        Cancelling the task withdraws the attempts in progress.
+        """
+        budgets = self._budgets_of(service)
+        budgets.retries.earn()
+        budgets.hedges.earn()
+        started_ms = self._clocks.monotonic_ms()
+        progress = _Progress(call, service, budgets, started_ms)
+        try:
+            result = await self._attempt_all(progress)
+        finally:
+            self._withdraw(progress)
+        outcome = result.outcome.value
+        self._counters.requests.labels(service.name, outcome).inc()
+        return result
+
+    async def _attempt_all(self, progress: _Progress) -> verdict.Verdict:
+        refused = self._send(progress, hedge=False)
+        if refused is not None:
+            return refused
+        while True:
+            result = await self._next_result(progress)
+            now_ms = self._clocks.monotonic_ms()
+            if result.outcome is verdict.Outcome.MAY_HAVE_RUN:
+                progress.may_have_run = result
+            if result.outcome is verdict.Outcome.ANSWERED:
+                taken_ms = now_ms - progress.started_ms
+                progress.budgets.latency.add(taken_ms)
+            step = policy.decide(
+                progress.call, result, progress.attempts, now_ms
+            )
+            if step is policy.Next.RETURN:
+                return self._conclude(progress, result)
+            if progress.sendings:
+                continue
+            if not await self._retry(progress, result):
+                return self._conclude(progress, result)
+
+    def _conclude(
+        self, progress: _Progress, result: verdict.Verdict
+    ) -> verdict.Verdict:
+        # An earlier attempt may have run even if the last one did not.
+        if (
+            result.outcome is verdict.Outcome.NOT_RUN
+            and progress.may_have_run is not None
+        ):
+            return progress.may_have_run
+        if result.answer is not None and table.is_failure(result):
+            return verdict.answered(policy.mark_final(result.answer))
+        return result
+
+    async def _retry(
+        self, progress: _Progress, result: verdict.Verdict
+    ) -> bool:
+        service = progress.service.name
+        reason = result.reason.value
+        if result.answer is not None:
+            reason = verdict.Reason.SERVER_ERROR.value
+        if not progress.budgets.retries.take():
+            self._counters.retries_denied.labels(service, reason).inc()
+            return False
+        jitter = self._generator.random()
+        delay_ms = policy.delay_ms(progress.attempts, jitter)
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1_000)
+        if self._send(progress, hedge=False) is not None:
+            return False
+        self._counters.retries.labels(service, reason).inc()
+        return True
+
+    def _send(
+        self, progress: _Progress, hedge: bool
+    ) -> verdict.Verdict | None:
+        call = progress.call
+        now_ms = self._clocks.monotonic_ms()
+        if call.key:
+            choice = self._selector.choose_owner(progress.service, call.key)
+        else:
+            choice = self._selector.choose(
+                progress.service,
+                progress.tried,
+                now_ms,
+                self._clocks.wall_ms(),
+            )
+        if choice.state is None:
+            return verdict.not_run(choice.reason)
+        state = choice.state
+        member = state.member
+        peer = self._source.peer(member.node_id, member.address)
+        token = next(self._tokens)
+        state.on_sent(token, now_ms)
+        attempt = peer.submit(call)
+        sending = _Sending(token, state, peer, attempt, hedge)
+        progress.sendings[attempt.future] = sending
+        progress.tried.add(member.node_id)
+        progress.attempts += 1
+        return None
+
+    async def _next_result(self, progress: _Progress) -> verdict.Verdict:
+        while True:
+            timeout_ms = self._wait_ms(progress)
+            done, _ = await asyncio.wait(
+                progress.sendings,
+                timeout=timeout_ms / 1_000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if done:
+                return self._settle(progress, done.pop())
+            now_ms = self._clocks.monotonic_ms()
+            if now_ms >= progress.call.deadline_ms:
+                return await self._time_out(progress)
+            self._on_slow(progress)
+
+    def _wait_ms(self, progress: _Progress) -> float:
+        now_ms = self._clocks.monotonic_ms()
+        left_ms = max(0.0, progress.call.deadline_ms - now_ms)
+        if progress.hedged:
+            return left_ms
+        hedge_at_ms = progress.started_ms + max(
+            MIN_HEDGE_MS, progress.budgets.latency.value_ms
+        )
+        return min(left_ms, max(0.0, hedge_at_ms - now_ms))
+
+    def _on_slow(self, progress: _Progress) -> None:
+        progress.hedged = True
+        service = progress.service.name
+        if not progress.call.idempotent:
+            # What has not begun comes back and can go elsewhere.
+            for sending in progress.sendings.values():
+                if not progress.call.key:
+                    sending.peer.revoke(sending.attempt)
+            return
+        if not progress.budgets.hedges.take():
+            reason = verdict.Reason.HEDGE.value
+            self._counters.retries_denied.labels(service, reason).inc()
+            return
+        if self._send(progress, hedge=True) is None:
+            self._counters.hedges.labels(service, 'sent').inc()
+
+    def _settle(
+        self,
+        progress: _Progress,
+        future: asyncio.Future[verdict.Verdict],
+    ) -> verdict.Verdict:
+        sending = progress.sendings.pop(future)
+        result = future.result()
+        now_ms = self._clocks.monotonic_ms()
+        self._record(progress.service.name, sending, result, now_ms)
+        if sending.hedge and result.outcome is verdict.Outcome.ANSWERED:
+            self._counters.hedges.labels(progress.service.name, 'won').inc()
+        return result
+
+    def _record(
+        self,
+        service: str,
+        sending: _Sending,
+        result: verdict.Verdict,
+        now_ms: float,
+    ) -> None:
+        state = sending.state
+        if state.on_result(sending.token, result, now_ms):
+            self._counters.ejections.labels(service).inc()
+            self._log.write(
+                events.Event.UPSTREAM_EJECTED,
+                service=service,
+                member=state.member.node_id,
+                reason=result.reason.value,
+            )
+
+    async def _time_out(self, progress: _Progress) -> verdict.Verdict:
+        for sending in progress.sendings.values():
+            sending.peer.cancel(sending.attempt)
+        done, pending = await asyncio.wait(
+            progress.sendings, timeout=CANCEL_GRACE_S
+        )
+        results = [self._settle(progress, future) for future in done]
+        if not pending:
+            for result in results:
+                if result.outcome is verdict.Outcome.ANSWERED:
+                    return result
+            if all(
+                result.outcome is verdict.Outcome.NOT_RUN for result in results
+            ):
+                return verdict.not_run(verdict.Reason.DEADLINE)
+        return verdict.may_have_run(verdict.Reason.DEADLINE)
+
+    def _withdraw(self, progress: _Progress) -> None:
+        now_ms = self._clocks.monotonic_ms()
+        cancelled = verdict.may_have_run(verdict.Reason.CANCELLED)
+        for sending in progress.sendings.values():
+            sending.peer.cancel(sending.attempt)
+            sending.state.on_result(sending.token, cancelled, now_ms)
+        progress.sendings.clear()
+
+    def _budgets_of(self, service: services.Service) -> _ServiceBudgets:
+        ratios = (service.retry_ratio, service.hedge_ratio)
+        known = self._budgets.get(service.name)
+        if known is None or known.ratios != ratios:
+            known = _ServiceBudgets(
+                budget.RatioBudget(service.retry_ratio, RETRY_BURST),
+                budget.RatioBudget(service.hedge_ratio, HEDGE_BURST),
+                quantile.QuantileEstimate(HEDGE_QUANTILE, FIRST_HEDGE_MS),
+                ratios,
+            )
+            self._budgets[service.name] = known
+        return known
--- /dev/null
+++ b/jasminebeam/callers/headers.py
@@ -0,0 +1,73 @@
+"""HTTP headers towards callers and upstreams."""
+
+from __future__ import annotations
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import requests
+
+IDEMPOTENCY_KEY = 'Idempotency-Key'
+REQUEST_ID = 'X-Request-Id'
+TIMEOUT_MS = 'Jasminebeam-Timeout-Ms'
+VERDICT = 'Jasminebeam-Verdict'
+REASON = 'Jasminebeam-Reason'
+FINAL = 'Jasminebeam-Final'
+
+_HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+_REPLACED = frozenset(
+    {
+        'content-length',
+        'expect',
+        REQUEST_ID.lower(),
+        TIMEOUT_MS.lower(),
+        VERDICT.lower(),
+        REASON.lower(),
+    }
+)
+
+
+def end_to_end(
+    items: typing.Iterable[tuple[str, str]],
+) -> requests.Headers:
+    """Return the headers that are passed on.
+
+    Examples
+    --------
+    >>> end_to_end([('Connection', 'X-A'), ('X-A', '1'), ('X-B', '2')])
+    (('X-B', '2'),)
+    """
+    pairs = list(items)
+    named = _HOP_BY_HOP | _REPLACED
+    for name, value in pairs:
+        if name.lower() == 'connection':
+            listed = (token.strip().lower() for token in value.split(','))
+            named = named.union(listed)
+    # The library's names are of a subclass that the codec refuses.
+    return tuple(
+        (str(name), value)
+        for name, value in pairs
+        if name.lower() not in named
+    )
+
+
+def is_text(headers: requests.Headers) -> bool:
+    """Return True if all values can be encoded as UTF-8."""
+    try:
+        for _, value in headers:
+            value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- /dev/null
+++ b/jasminebeam/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/jasminebeam/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Service definitions: validation, revisions and spreading."""
--- /dev/null
+++ b/jasminebeam/configuration/directory.py
@@ -0,0 +1,132 @@
+"""Service revisions in force at one node."""
+
+from __future__ import annotations
+
+import typing
+
+from jasminebeam import hashing
+from jasminebeam.model import services
+import msgspec
+
+BUCKETS = 64
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class ServiceDirectory:
+    """Keeps the highest revision of each service and matches requests.
+
+    Revisions only rise; a deleted service stays as a tombstone, so that a
+    delayed older revision never brings it back.
+    """
+
+    def __init__(self) -> None:
+        self._revisions: dict[str, services.ServiceRevision] = {}
+        self._by_host: dict[str, list[services.Service]] = {}
+        self._buckets = [0] * BUCKETS
+        self.highest = 0
+
+    def apply(self, revision: services.ServiceRevision) -> bool:
+        """Put a revision in force; False if a higher or equal one is."""
+        known = self._revisions.get(revision.name)
+        if known is not None and known.revision >= revision.revision:
+            return False
+        if known is not None:
+            self._toggle_digest(known)
+            self._unindex(known.service)
+        self._revisions[revision.name] = revision
+        self._toggle_digest(revision)
+        self._index(revision.service)
+        self.highest = max(self.highest, revision.revision)
+        return True
+
+    def revision_of(self, name: str) -> int:
+        """Return the revision in force; 0 if the service is unknown."""
+        known = self._revisions.get(name)
+        return known.revision if known is not None else 0
+
+    def get(self, name: str) -> services.ServiceRevision | None:
+        """Return the revision in force of a service."""
+        return self._revisions.get(name)
+
+    def service(self, name: str) -> services.Service | None:
+        """Return the definition in force; None if unknown or deleted."""
+        known = self._revisions.get(name)
+        return known.service if known is not None else None
+
+    def all(self) -> list[services.ServiceRevision]:
+        """Return the revisions in force, tombstones included."""
+        return list(self._revisions.values())
+
+    def match(self, host: str, path: str) -> services.Service | None:
+        """Return the service for a Host header and path.
+
+        The longest path prefix wins.
+        """
+        best = None
+        for service in self._by_host.get(_hostname(host), ()):
+            if not path.startswith(service.path_prefix):
+                continue
+            if best is None or len(service.path_prefix) > len(
+                best.path_prefix
+            ):
+                best = service
+        return best
+
+    @property
+    def digest(self) -> int:
+        """64-bit digest of all revisions in force."""
+        combined = 0
+        for bucket in self._buckets:
+            combined ^= bucket
+        return combined
+
+    @property
+    def buckets(self) -> tuple[int, ...]:
+        """Digests of the revisions by bucket."""
+        return tuple(self._buckets)
+
+    def differing(
+        self, buckets: typing.Sequence[int]
+    ) -> list[services.ServiceRevision]:
+        """Return the revisions in buckets whose digests differ.
+
+        Without digests there is nothing to compare and nothing returned.
+        """
+        if len(buckets) != BUCKETS:
+            return []
+        return [
+            revision
+            for revision in self._revisions.values()
+            if buckets[_bucket(revision.name)]
+            != self._buckets[_bucket(revision.name)]
+        ]
+
+    def _toggle_digest(self, revision: services.ServiceRevision) -> None:
+        digest = hashing.hash64(revision.name, str(revision.revision))
+        self._buckets[_bucket(revision.name)] ^= digest
+
+    def _index(self, service: services.Service | None) -> None:
+        if service is None:
+            return
+        for host in service.hosts:
+            self._by_host.setdefault(host.lower(), []).append(service)
+
+    def _unindex(self, service: services.Service | None) -> None:
+        if service is None:
+            return
+        for host in service.hosts:
+            self._by_host[host.lower()].remove(service)
+
+
+def _bucket(name: str) -> int:
+    return hashing.hash64(name) % BUCKETS
+
+
+def _hostname(host: str) -> str:
+    return host.partition(':')[0].lower()
+
+
+def encode(service: services.Service) -> bytes:
+    """Return the stored form of a definition (JSON)."""
+    return msgspec.json.encode(service)
--- /dev/null
+++ b/jasminebeam/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is alive: gossip state and failure detection."""
--- /dev/null
+++ b/jasminebeam/membership/detector.py
@@ -0,0 +1,104 @@
+"""Failure detection by heartbeats to a few watched members."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from jasminebeam.model import upstreams
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.membership import table
+
+LOCAL_TARGETS = 2
+GLOBAL_TARGETS = 1
+INDIRECT_AFTER_MISSED = 2
+SUSPECT_AFTER_MISSED = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Round:
+    """What to do in one interval.
+
+    Parameters
+    ----------
+    heartbeat : tuple of str
+        Members to send a heartbeat to.
+    indirect : tuple of str
+        Members to check through others.
+    suspect : tuple of str
+        Members to suspect.
+    """
+
+    heartbeat: tuple[str, ...]
+    indirect: tuple[str, ...]
+    suspect: tuple[str, ...]
+
+
+class FailureDetector:
+    """Counts unanswered heartbeats of the watched members.
+
+    Each node watches its successors in the ring of its failure domain,
+    which notices hosts, and one in the ring of all members, which notices
+    a lost failure domain.
+
+    Parameters
+    ----------
+    me : Member
+        This node.
+    interval_ms : float
+        Time between two rounds.
+    """
+
+    def __init__(self, me: upstreams.Member, interval_ms: float) -> None:
+        self._node_id = me.node_id
+        self._failure_domain = me.failure_domain
+        self._interval_ms = interval_ms
+        self._missed: dict[str, int] = {}
+        self._last_round_ms: float | None = None
+
+    def round(self, members: table.MemberTable, now_ms: float) -> Round:
+        """Return the actions of the interval that begins now."""
+        targets = self._targets(members)
+        if self._was_paused(now_ms):
+            # Answers that arrived meanwhile have not been read yet.
+            self._missed.clear()
+        self._last_round_ms = now_ms
+        missed = {target: self._missed.get(target, 0) for target in targets}
+        self._missed = {target: count + 1 for target, count in missed.items()}
+        return Round(
+            heartbeat=tuple(targets),
+            indirect=tuple(
+                target
+                for target, count in missed.items()
+                if count >= INDIRECT_AFTER_MISSED
+            ),
+            suspect=tuple(
+                target
+                for target, count in missed.items()
+                if count >= SUSPECT_AFTER_MISSED
+                and members.get(target).status is upstreams.Status.ALIVE
+            ),
+        )
+
+    def on_alive(self, node_id: str) -> None:
+        """Record that a member has answered."""
+        if node_id in self._missed:
+            self._missed[node_id] = 0
+
+    def _was_paused(self, now_ms: float) -> bool:
+        if self._last_round_ms is None:
+            return False
+        return now_ms - self._last_round_ms > 2.5 * self._interval_ms
+
+    def _targets(self, members: table.MemberTable) -> list[str]:
+        domain_ring = members.rings[self._failure_domain]
+        targets = domain_ring.successors(self._node_id, LOCAL_TARGETS)
+        for target in members.ring.successors(
+            self._node_id, LOCAL_TARGETS + GLOBAL_TARGETS
+        ):
+            if len(targets) == LOCAL_TARGETS + GLOBAL_TARGETS:
+                break
+            if target not in targets:
+                targets.append(target)
+        return targets
--- /dev/null
+++ b/jasminebeam/membership/domains.py
@@ -0,0 +1,53 @@
+"""Detects failure domains that go silent as a whole."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.membership import table
+
+MIN_SUSPECTS = 3
+SUSPECT_RATIO = 0.15
+
+
+class SilentDomains:
+    """Tells a lost host from a lost failure domain or link.
+
+    While many members of a domain are suspected at once, the suspicions
+    are held: nobody is declared dead, further suspicions are not spread,
+    and routing avoids the domain.
+    """
+
+    def __init__(self) -> None:
+        self.silent: frozenset[str] = frozenset()
+
+    def update(
+        self, members: table.MemberTable
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the domains that have become silent and those back."""
+        counts = collections.Counter(
+            members.get(node_id).failure_domain
+            for node_id in members.suspects()
+        )
+        silent = frozenset(
+            domain
+            for domain, count in counts.items()
+            if count >= _threshold(members.active_in(domain))
+        )
+        began = silent - self.silent
+        ended = self.silent - silent
+        self.silent = silent
+        return began, ended
+
+
+def _threshold(active: int) -> int:
+    """Return the number of suspects at which a domain counts as silent.
+
+    Examples
+    --------
+    >>> _threshold(5), _threshold(1_640)
+    (3, 246)
+    """
+    return max(MIN_SUSPECTS, int(active * SUSPECT_RATIO))
--- /dev/null
+++ b/jasminebeam/membership/gossip.py
@@ -0,0 +1,506 @@
+"""Gossip state machine: spreads membership and configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+from jasminebeam.membership import detector
+from jasminebeam.membership import domains
+from jasminebeam.membership import rumors
+from jasminebeam.membership import table
+from jasminebeam.model import services
+from jasminebeam.model import upstreams
+from jasminebeam.peering import messages
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.configuration import directory
+
+MEMBER_BYTES = 120
+SHORT_MEMBER_BYTES = 60
+REVISION_BYTES = 700
+SYNC_CHUNK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Timing and bounds of the gossip.
+
+    Parameters
+    ----------
+    interval_ms : float
+        Time between two rounds.
+    suspicion_ms : float
+        Time that a suspected member has to refute.
+    held_suspicion_ms : float
+        The same while its failure domain is silent as a whole.
+    forget_ms : float
+        Time after which a dead or departed member is forgotten.
+    piggyback_bytes : int
+        Most bytes of changes in one heartbeat.
+    partner_rounds : int
+        Rounds for which the same random partners are kept.
+    sync_rounds : int
+        Rounds without equal digests before a repair.
+    max_rumors : int
+        Changes that wait to be spread.
+    """
+
+    interval_ms: float = 1_000.0
+    suspicion_ms: float = 5_000.0
+    held_suspicion_ms: float = 7_200_000.0
+    forget_ms: float = 7_200_000.0
+    piggyback_bytes: int = 1_000
+    partner_rounds: int = 30
+    sync_rounds: int = 5
+    max_rumors: int = 4_096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message and the peer address that it goes to."""
+
+    address: str
+    message: messages.Message
+
+
+@dataclasses.dataclass(slots=True)
+class Effects:
+    """Results of one step.
+
+    Parameters
+    ----------
+    outgoing : list of Outgoing
+        Messages to send.
+    replies : list of Message
+        Messages back to the sender of the one received.
+    members : list of Member
+        Changed records.
+    revisions : list of ServiceRevision
+        Revisions that have come into force.
+    refuted : bool
+        True if this node has refuted a record about itself.
+    silent, back : frozenset of str
+        Failure domains that have become silent, or answer again.
+    """
+
+    outgoing: list[Outgoing] = dataclasses.field(default_factory=list)
+    replies: list[messages.Message] = dataclasses.field(default_factory=list)
+    members: list[upstreams.Member] = dataclasses.field(default_factory=list)
+    revisions: list[services.ServiceRevision] = dataclasses.field(
+        default_factory=list
+    )
+    refuted: bool = False
+    silent: frozenset[str] = frozenset()
+    back: frozenset[str] = frozenset()
+
+
+class Gossip:
+    """One node's part in the gossip; it performs no input or output.
+
+    Parameters
+    ----------
+    me : Member
+        This node's first record.
+    services_in_force : ServiceDirectory
+        Revisions in force; received revisions are applied to it.
+    seeds : sequence of str
+        Peer addresses that are asked while no other member is known.
+    generator : random.Random
+        Chooses partners.
+    options : Options
+        Timing and bounds.
+    """
+
+    def __init__(
+        self,
+        me: upstreams.Member,
+        services_in_force: directory.ServiceDirectory,
+        seeds: typing.Sequence[str],
+        generator: random.Random,
+        options: Options,
+    ) -> None:
+        self.me = me
+        self.members = table.MemberTable()
+        self.members.merge(me, 0.0)
+        self.domains = domains.SilentDomains()
+        self.seeds = list(seeds)
+        self.member_rumors: rumors.RumorQueue[upstreams.Member] = (
+            rumors.RumorQueue(options.max_rumors)
+        )
+        self.revision_rumors: rumors.RumorQueue[services.ServiceRevision] = (
+            rumors.RumorQueue(options.max_rumors)
+        )
+        self._directory = services_in_force
+        self._generator = generator
+        self._options = options
+        self._detector = detector.FailureDetector(me, options.interval_ms)
+        self._partners: list[str] = []
+        self._round = 0
+        self._nonce = 0
+        self._equal_round = 0
+        self._indirect: dict[str, set[str]] = {}
+
+    def publish(self, now_ms: float, **changes: object) -> None:
+        """Change fields of this node's own record and spread it."""
+        self._publish(
+            dataclasses.replace(
+                self.me, version=self.me.version + 1, **changes
+            ),
+            now_ms,
+        )
+
+    def push(self) -> Effects:
+        """Return messages that spread recent changes at once."""
+        effects = Effects()
+        self._push(self._push_targets(), effects)
+        return effects
+
+    def leave(self, now_ms: float) -> Effects:
+        """Spread that this node leaves, and return the messages."""
+        self.publish(now_ms, status=upstreams.Status.LEFT)
+        return self.push()
+
+    def join(self) -> Effects:
+        """Return the messages that ask the seeds for their tables."""
+        effects = Effects()
+        own = self.me.address
+        for address in self.seeds:
+            if address != own:
+                request = self._sync_request(with_config=True)
+                effects.outgoing.append(Outgoing(address, request))
+        return effects
+
+    def adopt(
+        self, revision: services.ServiceRevision, now_ms: float
+    ) -> Effects:
+        """Put a revision in force and push it to partners at once."""
+        effects = Effects()
+        self._apply_revision(revision, effects)
+        if effects.revisions:
+            self._push(self._push_targets(), effects)
+        return effects
+
+    def tick(self, now_ms: float) -> Effects:
+        """Start a round: heartbeats, suspicions, deaths and repairs."""
+        effects = Effects()
+        self._round += 1
+        if len(self.members) == 1:
+            return self.join()
+        actions = self._detector.round(self.members, now_ms)
+        for node_id in actions.suspect:
+            self._suspect(node_id, now_ms, effects)
+        self._expire(now_ms, effects)
+        effects.silent, effects.back = self.domains.update(self.members)
+        for node_id in actions.indirect:
+            self._probe_indirectly(node_id, effects)
+        targets = [*actions.heartbeat, *self._round_partners()]
+        for node_id in dict.fromkeys(targets):
+            self._heartbeat(node_id, effects)
+        return effects
+
+    def receive(self, message: messages.Message, now_ms: float) -> Effects:
+        """Act on one message."""
+        effects = Effects()
+        match message:
+            case messages.Heartbeat():
+                self._on_heartbeat(message, now_ms, effects)
+            case messages.HeartbeatAck():
+                self._on_ack(message, now_ms, effects)
+            case messages.IndirectProbe():
+                self._on_indirect_probe(message, effects)
+            case messages.IndirectResult():
+                self._detector.on_alive(message.node_id)
+            case messages.SyncRequest():
+                self._on_sync_request(message, now_ms, effects)
+            case messages.SyncDetail():
+                self._on_sync_detail(message, effects)
+            case messages.SyncPull():
+                self._on_sync_pull(message, effects)
+            case messages.Sync():
+                self._merge_all(message.members, now_ms, effects)
+                self._apply_all(message.revisions, effects)
+        return effects
+
+    def _on_heartbeat(
+        self,
+        message: messages.Heartbeat,
+        now_ms: float,
+        effects: Effects,
+    ) -> None:
+        self._take_news(message, now_ms, effects)
+        effects.replies.append(
+            messages.HeartbeatAck(
+                *self._heartbeat_fields(message.nonce, message.node_id)
+            )
+        )
+
+    def _on_ack(
+        self,
+        message: messages.HeartbeatAck,
+        now_ms: float,
+        effects: Effects,
+    ) -> None:
+        self._take_news(message, now_ms, effects)
+        self._detector.on_alive(message.node_id)
+        for address in self._indirect.pop(message.node_id, ()):
+            result = messages.IndirectResult(message.node_id)
+            effects.outgoing.append(Outgoing(address, result))
+
+    def _take_news(
+        self,
+        message: messages.Heartbeat | messages.HeartbeatAck,
+        now_ms: float,
+        effects: Effects,
+    ) -> None:
+        self._merge_all(message.members, now_ms, effects)
+        self._apply_all(message.revisions, effects)
+        if effects.revisions:
+            self._push(self._push_targets(), effects)
+        self._repair(message, effects)
+
+    def _repair(
+        self,
+        message: messages.Heartbeat | messages.HeartbeatAck,
+        effects: Effects,
+    ) -> None:
+        sender = self.members.get(message.node_id)
+        same_members = message.member_digest == self.members.digest
+        same_config = message.config_digest == self._directory.digest
+        if same_members and same_config:
+            self._equal_round = self._round
+            return
+        rounds = self._round - self._equal_round
+        if sender is None or rounds < self._options.sync_rounds:
+            return
+        self._equal_round = self._round
+        request = self._sync_request(with_config=not same_config)
+        effects.outgoing.append(Outgoing(sender.address, request))
+
+    def _on_indirect_probe(
+        self, message: messages.IndirectProbe, effects: Effects
+    ) -> None:
+        if self.members.get(message.node_id) is None:
+            return
+        waiting = self._indirect.setdefault(message.node_id, set())
+        waiting.add(message.reply_address)
+        self._heartbeat(message.node_id, effects)
+
+    def _on_sync_request(
+        self,
+        message: messages.SyncRequest,
+        now_ms: float,
+        effects: Effects,
+    ) -> None:
+        self._merge_all((message.sender,), now_ms, effects)
+        groups = self.members.differing_groups(message.member_groups)
+        if groups:
+            buckets = tuple(map(self.members.buckets_of, groups))
+            detail = messages.SyncDetail(tuple(groups), buckets)
+            effects.replies.append(detail)
+        revisions = self._directory.differing(message.config_buckets)
+        for start in range(0, len(revisions), SYNC_CHUNK):
+            part = tuple(revisions[start : start + SYNC_CHUNK])
+            effects.replies.append(messages.Sync(revisions=part))
+
+    def _on_sync_detail(
+        self, message: messages.SyncDetail, effects: Effects
+    ) -> None:
+        differing = [
+            bucket
+            for group, digests in zip(
+                message.groups, message.buckets, strict=False
+            )
+            for bucket in self.members.differing_buckets(group, digests)
+        ]
+        if differing:
+            effects.replies.append(messages.SyncPull(tuple(differing)))
+
+    def _on_sync_pull(
+        self, message: messages.SyncPull, effects: Effects
+    ) -> None:
+        members = self.members.in_buckets(message.buckets)
+        for start in range(0, len(members), SYNC_CHUNK):
+            chunk = tuple(members[start : start + SYNC_CHUNK])
+            effects.replies.append(messages.Sync(members=chunk))
+
+    def _merge_all(
+        self,
+        records: typing.Iterable[upstreams.Member],
+        now_ms: float,
+        effects: Effects,
+    ) -> None:
+        for member in records:
+            if member.node_id == self.me.node_id:
+                self._refute(member, now_ms, effects)
+            elif self.members.merge(member, now_ms):
+                effects.members.append(member)
+                self._spread(member)
+
+    def _refute(
+        self, member: upstreams.Member, now_ms: float, effects: Effects
+    ) -> None:
+        if not table.supersedes(member, self.me):
+            return
+        if self.me.status is upstreams.Status.LEFT:
+            return
+        self._publish(
+            dataclasses.replace(
+                self.me,
+                incarnation=max(member.incarnation, self.me.incarnation),
+                version=member.version + 1,
+            ),
+            now_ms,
+        )
+        effects.refuted = True
+
+    def _publish(self, member: upstreams.Member, now_ms: float) -> None:
+        self.me = member
+        self.members.merge(member, now_ms)
+        self._spread(member)
+
+    def _spread(self, member: upstreams.Member) -> None:
+        held = member.failure_domain in self.domains.silent
+        if held and member.status is upstreams.Status.SUSPECT:
+            return
+        self.member_rumors.add(member.node_id, member, MEMBER_BYTES)
+
+    def _suspect(self, node_id: str, now_ms: float, effects: Effects) -> None:
+        member = self.members.get(node_id)
+        suspect = dataclasses.replace(member, status=upstreams.Status.SUSPECT)
+        self._merge_all((suspect,), now_ms, effects)
+
+    def _expire(self, now_ms: float, effects: Effects) -> None:
+        for node_id, since_ms in list(self.members.suspects().items()):
+            member = self.members.get(node_id)
+            limit_ms = self._options.suspicion_ms
+            if member.failure_domain in self.domains.silent:
+                limit_ms = self._options.held_suspicion_ms
+            if now_ms - since_ms >= limit_ms:
+                dead = dataclasses.replace(
+                    member, status=upstreams.Status.DEAD
+                )
+                self._merge_all((dead,), now_ms, effects)
+        for node_id, since_ms in list(self.members.gone().items()):
+            if now_ms - since_ms >= self._options.forget_ms:
+                self.members.purge(node_id)
+
+    def _probe_indirectly(self, node_id: str, effects: Effects) -> None:
+        for relay in self._random_partners(2):
+            if relay == node_id:
+                continue
+            effects.outgoing.append(
+                Outgoing(
+                    self.members.get(relay).address,
+                    messages.IndirectProbe(node_id, self.me.address),
+                )
+            )
+
+    def _round_partners(self) -> list[str]:
+        if self._round % self._options.partner_rounds == 1:
+            self._partners = []
+        known = [
+            node_id
+            for node_id in self._partners
+            if self.members.get(node_id) is not None
+        ]
+        if len(known) < _PARTNERS:
+            known = self._new_partners()
+        self._partners = known
+        return [*known, *self._lost_partner()]
+
+    def _new_partners(self) -> list[str]:
+        region = self.members.region_rings[self.me.region]
+        near = self._draw(region, 1)
+        return list(dict.fromkeys([*near, *self._random_partners(1)]))
+
+    def _lost_partner(self) -> list[str]:
+        """Return a lost member now and then, so that partitions heal."""
+        if self._round % _LOST_ROUNDS:
+            return []
+        lost = [
+            node_id
+            for node_id in (*self.members.suspects(), *self.members.gone())
+            if self.members.get(node_id).status is not upstreams.Status.LEFT
+        ]
+        return [self._generator.choice(lost)] if lost else []
+
+    def _random_partners(self, count: int) -> list[str]:
+        return self._draw(self.members.ring, count)
+
+    def _push_targets(self) -> list[str]:
+        region = self.members.region_rings[self.me.region]
+        near = self._draw(region, _PUSH_NEAR)
+        return list(dict.fromkeys([*near, *self._random_partners(_PUSH_FAR)]))
+
+    def _draw(self, ring: table.Ring, count: int) -> list[str]:
+        if not len(ring):
+            return []
+        indexes = self._generator.sample(
+            range(len(ring)), min(count + 1, len(ring))
+        )
+        drawn = [ring.at(index) for index in indexes]
+        others = [name for name in drawn if name != self.me.node_id]
+        return others[:count]
+
+    def _push(self, targets: list[str], effects: Effects) -> None:
+        for node_id in targets:
+            self._heartbeat(node_id, effects)
+
+    def _heartbeat(self, node_id: str, effects: Effects) -> None:
+        self._nonce += 1
+        fields = self._heartbeat_fields(self._nonce, node_id)
+        effects.outgoing.append(
+            Outgoing(
+                self.members.get(node_id).address, messages.Heartbeat(*fields)
+            )
+        )
+
+    def _heartbeat_fields(
+        self, nonce: int, receiver: str
+    ) -> tuple[typing.Any, ...]:
+        limit = rumors.transmissions(len(self.members))
+        budget = self._options.piggyback_bytes
+        revisions = self.revision_rumors.take(budget, limit)
+        budget -= REVISION_BYTES * len(revisions)
+        members = self.member_rumors.take(max(0, budget), limit)
+        known = self.members.get(receiver)
+        if known is not None and known.status is not upstreams.Status.ALIVE:
+            # Lets the receiver refute what is believed of it.
+            members.append(known)
+        return (
+            nonce,
+            self.me.node_id,
+            self.members.digest,
+            self._directory.digest,
+            tuple(members),
+            tuple(revisions),
+        )
+
+    def _sync_request(self, with_config: bool) -> messages.SyncRequest:
+        config_buckets = self._directory.buckets if with_config else ()
+        return messages.SyncRequest(
+            self.me, self.members.groups, config_buckets
+        )
+
+    def _apply_all(
+        self,
+        revisions: typing.Iterable[services.ServiceRevision],
+        effects: Effects,
+    ) -> None:
+        for revision in revisions:
+            self._apply_revision(revision, effects)
+
+    def _apply_revision(
+        self, revision: services.ServiceRevision, effects: Effects
+    ) -> None:
+        if self._directory.apply(revision):
+            effects.revisions.append(revision)
+            self.revision_rumors.add(revision.name, revision, REVISION_BYTES)
+
+
+_PARTNERS = 1
+_PUSH_NEAR = 2
+_PUSH_FAR = 2
+_LOST_ROUNDS = 5
--- /dev/null
+++ b/jasminebeam/membership/table.py
@@ -0,0 +1,243 @@
+"""Table of the members that a node knows."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import typing
+
+from jasminebeam import hashing
+from jasminebeam.model import upstreams
+
+# Digests form a tree of two levels: groups of buckets of members.
+GROUPS = 32
+BUCKETS_PER_GROUP = 32
+BUCKETS = GROUPS * BUCKETS_PER_GROUP
+
+_ACTIVE = (upstreams.Status.ALIVE, upstreams.Status.SUSPECT)
+
+
+def supersedes(new: upstreams.Member, known: upstreams.Member) -> bool:
+    """Return True if a record replaces a known one.
+
+    A later incarnation wins, then a later version, then the worse status:
+    a member refutes a suspicion with a later version.
+    """
+    return _rank(new) > _rank(known)
+
+
+def _rank(member: upstreams.Member) -> tuple[int, int, int]:
+    return (member.incarnation, member.version, member.status)
+
+
+class Ring:
+    """Members in the order of a hash, to choose whom to watch."""
+
+    def __init__(self) -> None:
+        self._entries: list[tuple[int, str]] = []
+
+    def add(self, node_id: str) -> None:
+        """Insert a member that is not in the ring."""
+        bisect.insort(self._entries, _ring_entry(node_id))
+
+    def discard(self, node_id: str) -> None:
+        """Remove a member if it is in the ring."""
+        entry = _ring_entry(node_id)
+        index = bisect.bisect_left(self._entries, entry)
+        if index < len(self._entries) and self._entries[index] == entry:
+            del self._entries[index]
+
+    def successors(self, node_id: str, count: int) -> list[str]:
+        """Return up to ``count`` other members that follow a member."""
+        entry = _ring_entry(node_id)
+        start = bisect.bisect_right(self._entries, entry)
+        found = []
+        for offset in range(len(self._entries)):
+            if len(found) == count:
+                break
+            index = (start + offset) % len(self._entries)
+            candidate = self._entries[index][1]
+            if candidate != node_id:
+                found.append(candidate)
+        return found
+
+    def at(self, index: int) -> str:
+        """Return the member at a position."""
+        return self._entries[index][1]
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+
+def _ring_entry(node_id: str) -> tuple[int, str]:
+    return hashing.hash64(node_id), node_id
+
+
+class MemberTable:
+    """Member records with digests, rings and counts by failure domain.
+
+    Suspected members stay in the rings, so that a short suspicion does
+    not move the watching of others.
+    """
+
+    def __init__(self) -> None:
+        self._members: dict[str, upstreams.Member] = {}
+        self._groups = [0] * GROUPS
+        self._buckets = [0] * BUCKETS
+        self._digest = 0
+        self._suspects: dict[str, float] = {}
+        self._gone: dict[str, float] = {}
+        self.rings: dict[str, Ring] = collections.defaultdict(Ring)
+        self.ring = Ring()
+        self.region_rings: dict[str, Ring] = collections.defaultdict(Ring)
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> typing.Iterator[upstreams.Member]:
+        return iter(self._members.values())
+
+    def get(self, node_id: str) -> upstreams.Member | None:
+        """Return the record of a member."""
+        return self._members.get(node_id)
+
+    def merge(self, member: upstreams.Member, now_ms: float) -> bool:
+        """Take over a record if it is news; return True if it is."""
+        known = self._members.get(member.node_id)
+        if known is None:
+            # A purged member's end is not news.
+            if member.status not in _ACTIVE:
+                return False
+        elif not supersedes(member, known):
+            return False
+        self._replace(known, member, now_ms)
+        return True
+
+    def suspects(self) -> dict[str, float]:
+        """Return the suspected members and when each suspicion began."""
+        return self._suspects
+
+    def gone(self) -> dict[str, float]:
+        """Return dead and departed members and since when."""
+        return self._gone
+
+    def purge(self, node_id: str) -> None:
+        """Forget a member that is dead or has left."""
+        member = self._members.pop(node_id)
+        self._gone.pop(node_id, None)
+        self._suspects.pop(node_id, None)
+        if member.status in _ACTIVE:
+            self._unlink(member)
+
+    def count_by_status(self) -> dict[upstreams.Status, int]:
+        """Return the number of members of each status."""
+        counts = collections.Counter(
+            member.status for member in self._members.values()
+        )
+        return {status: counts[status] for status in upstreams.Status}
+
+    def active_in(self, failure_domain: str) -> int:
+        """Return the number of live and suspected members of a domain."""
+        ring = self.rings.get(failure_domain)
+        return len(ring) if ring is not None else 0
+
+    @property
+    def digest(self) -> int:
+        """64-bit digest of the live and suspected members."""
+        return self._digest
+
+    @property
+    def groups(self) -> tuple[int, ...]:
+        """Digests of the groups of buckets."""
+        return tuple(self._groups)
+
+    def buckets_of(self, group: int) -> tuple[int, ...]:
+        """Return the digests of the buckets of a group."""
+        start = group * BUCKETS_PER_GROUP
+        return tuple(self._buckets[start : start + BUCKETS_PER_GROUP])
+
+    def differing_groups(self, groups: typing.Sequence[int]) -> list[int]:
+        """Return the groups whose digests differ."""
+        return [
+            index
+            for index, (own, other) in enumerate(
+                zip(self._groups, groups, strict=False)
+            )
+            if own != other
+        ]
+
+    def differing_buckets(
+        self, group: int, digests: typing.Sequence[int]
+    ) -> list[int]:
+        """Return the buckets of a group whose digests differ."""
+        start = group * BUCKETS_PER_GROUP
+        return [
+            start + index
+            for index, (own, other) in enumerate(
+                zip(self.buckets_of(group), digests, strict=False)
+            )
+            if own != other
+        ]
+
+    def in_buckets(
+        self, buckets: typing.Collection[int]
+    ) -> list[upstreams.Member]:
+        """Return the live and suspected members of some buckets."""
+        wanted = frozenset(buckets)
+        return [
+            member
+            for member in self._members.values()
+            if _bucket(member.node_id) in wanted and member.status in _ACTIVE
+        ]
+
+    def _replace(
+        self,
+        known: upstreams.Member | None,
+        member: upstreams.Member,
+        now_ms: float,
+    ) -> None:
+        if known is not None and known.status in _ACTIVE:
+            self._unlink(known)
+        self._members[member.node_id] = member
+        self._suspects.pop(member.node_id, None)
+        self._gone.pop(member.node_id, None)
+        if member.status in _ACTIVE:
+            self._link(member)
+        else:
+            self._gone[member.node_id] = now_ms
+        if member.status is upstreams.Status.SUSPECT:
+            self._suspects[member.node_id] = now_ms
+
+    def _link(self, member: upstreams.Member) -> None:
+        self._toggle_digest(member)
+        for ring in self._rings_of(member):
+            ring.add(member.node_id)
+
+    def _unlink(self, member: upstreams.Member) -> None:
+        self._toggle_digest(member)
+        for ring in self._rings_of(member):
+            ring.discard(member.node_id)
+
+    def _toggle_digest(self, member: upstreams.Member) -> None:
+        digest = _digest(member)
+        bucket = _bucket(member.node_id)
+        self._buckets[bucket] ^= digest
+        self._groups[bucket // BUCKETS_PER_GROUP] ^= digest
+        self._digest ^= digest
+
+    def _rings_of(self, member: upstreams.Member) -> tuple[Ring, ...]:
+        return (
+            self.ring,
+            self.rings[member.failure_domain],
+            self.region_rings[member.region],
+        )
+
+
+def _bucket(node_id: str) -> int:
+    return hashing.hash64(node_id) % BUCKETS
+
+
+def _digest(member: upstreams.Member) -> int:
+    return hashing.hash64(
+        member.node_id, str(member.incarnation), str(member.version)
+    )
--- /dev/null
+++ b/jasminebeam/membership/task.py
@@ -0,0 +1,226 @@
+"""Task that runs the gossip over control connections."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import typing
+
+from jasminebeam.membership import gossip
+from jasminebeam.model import upstreams
+from jasminebeam.peering import messages
+from jasminebeam.telemetry import events
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.configuration import directory
+    from jasminebeam.model import services
+    from jasminebeam.peering import control
+    from jasminebeam.telemetry import metrics
+
+REVISION_QUERY_TIMEOUT_S = 1.0
+REVISION_QUERIES_PER_S = 200
+
+_EVENTS = {
+    upstreams.Status.SUSPECT: events.Event.MEMBER_SUSPECTED,
+    upstreams.Status.DEAD: events.Event.MEMBER_DEAD,
+    upstreams.Status.LEFT: events.Event.MEMBER_LEFT,
+}
+
+
+class MembershipTask:
+    """Owns the gossip state; others call it and receive changes.
+
+    Parameters
+    ----------
+    state : Gossip
+        The state machine.
+    matcher : ServiceDirectory
+        Revisions in force.
+    on_member : callable
+        Receives each changed member record.
+    on_revision : callable
+        Receives each revision that has come into force.
+    on_silent : callable
+        Receives the set of silent failure domains when it changes.
+    clock : callable
+        Returns the monotonic time in ms.
+    log, counters
+        Receive changes of membership.
+    """
+
+    def __init__(
+        self,
+        state: gossip.Gossip,
+        matcher: directory.ServiceDirectory,
+        on_member: typing.Callable[[upstreams.Member], None],
+        on_revision: typing.Callable[[services.ServiceRevision], None],
+        on_silent: typing.Callable[[frozenset[str]], None],
+        clock: typing.Callable[[], float],
+        log: events.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._state = state
+        self._matcher = matcher
+        self._on_member = on_member
+        self._on_revision = on_revision
+        self._on_silent = on_silent
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._links: control.ControlLinks | None = None
+        self._nonces = itertools.count(1)
+        self._queries: dict[int, asyncio.Future[int]] = {}
+
+    @property
+    def me(self) -> upstreams.Member:
+        """This node's own record."""
+        return self._state.me
+
+    def members(self) -> list[upstreams.Member]:
+        """Return all known records."""
+        return list(self._state.members)
+
+    def member(self, node_id: str) -> upstreams.Member | None:
+        """Return one record."""
+        return self._state.members.get(node_id)
+
+    def attach(self, links: control.ControlLinks) -> None:
+        """Take the connections into use."""
+        self._links = links
+
+    def add_seeds(self, addresses: typing.Iterable[str]) -> None:
+        """Ask these peers as well while no member is known."""
+        known = self._state.seeds
+        known.extend(address for address in addresses if address not in known)
+
+    def publish(self, **changes: object) -> None:
+        """Change fields of this node's own record and spread it."""
+        self._state.publish(self._clock(), **changes)
+        self._apply(self._state.push())
+
+    def adopt(self, revision: services.ServiceRevision) -> None:
+        """Put a revision in force and push it to partners."""
+        self._apply(self._state.adopt(revision, self._clock()))
+
+    def leave(self) -> None:
+        """Tell partners that this node leaves."""
+        self._apply(self._state.leave(self._clock()))
+
+    def receive(
+        self,
+        message: messages.Message,
+        send: typing.Callable[[messages.Message], int],
+        size_bytes: int = 0,
+    ) -> None:
+        """Act on a control message."""
+        if size_bytes:
+            self._links.count_received(message, size_bytes)
+        if isinstance(message, messages.RevisionQuery):
+            self._answer_query(message, send)
+        elif isinstance(message, messages.RevisionReply):
+            self._on_revision_reply(message)
+        else:
+            effects = self._state.receive(message, self._clock())
+            now_ms = self._clock()
+            for reply in effects.replies:
+                self._links.meter(reply, send, now_ms)
+            self._apply(effects)
+
+    async def run(self, interval_ms: float, generator: random.Random) -> None:
+        """Start a round in each interval."""
+        self._apply(self._state.join())
+        while True:
+            self._apply(self._state.tick(self._clock()))
+            for status, count in self._state.members.count_by_status().items():
+                label = status.name.lower()
+                self._counters.members.labels(label).set(count)
+            jitter = 0.95 + 0.1 * generator.random()
+            await asyncio.sleep(interval_ms * jitter / 1_000)
+
+    async def ask_revisions(self, service: str) -> dict[str, int | None]:
+        """Ask all live members for their revision of a service.
+
+        Returns
+        -------
+        dict
+            Node id to revision; None for a member without an answer.
+        """
+        answers: dict[str, int | None] = {}
+        members = [
+            member
+            for member in self._state.members
+            if member.status
+            in (upstreams.Status.ALIVE, upstreams.Status.SUSPECT)
+        ]
+        for start in range(0, len(members), REVISION_QUERIES_PER_S):
+            batch = members[start : start + REVISION_QUERIES_PER_S]
+            found = await asyncio.gather(
+                *(self._ask(member, service) for member in batch)
+            )
+            for member, revision in zip(batch, found, strict=True):
+                answers[member.node_id] = revision
+        return answers
+
+    async def _ask(self, member: upstreams.Member, service: str) -> int | None:
+        if member.node_id == self.me.node_id:
+            return self._matcher.revision_of(service)
+        nonce = next(self._nonces)
+        future = asyncio.get_running_loop().create_future()
+        self._queries[nonce] = future
+        query = messages.RevisionQuery(nonce, service)
+        self._links.send(member.address, query, self._clock())
+        try:
+            async with asyncio.timeout(REVISION_QUERY_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._queries[nonce]
+
+    def _answer_query(
+        self,
+        message: messages.RevisionQuery,
+        send: typing.Callable[[messages.Message], int],
+    ) -> None:
+        revision = self._matcher.revision_of(message.service)
+        reply = messages.RevisionReply(
+            message.nonce, self.me.node_id, revision
+        )
+        self._links.meter(reply, send, self._clock())
+
+    def _on_revision_reply(self, message: messages.RevisionReply) -> None:
+        future = self._queries.get(message.nonce)
+        if future is not None and not future.done():
+            future.set_result(message.revision)
+
+    def _apply(self, effects: gossip.Effects) -> None:
+        now_ms = self._clock()
+        for outgoing in effects.outgoing:
+            self._links.send(outgoing.address, outgoing.message, now_ms)
+        for member in effects.members:
+            self._note(member)
+            self._on_member(member)
+        for revision in effects.revisions:
+            self._on_revision(revision)
+        if effects.refuted:
+            version = self.me.version
+            self._log.write(events.Event.SELF_REFUTED, version=version)
+        for domain in effects.silent:
+            self._log.write(events.Event.DOMAIN_SILENT, domain=domain)
+        for domain in effects.back:
+            self._log.write(events.Event.DOMAIN_BACK, domain=domain)
+        if effects.silent or effects.back:
+            self._on_silent(self._state.domains.silent)
+
+    def _note(self, member: upstreams.Member) -> None:
+        event = _EVENTS.get(member.status)
+        if event is None and member.version == 1:
+            event = events.Event.MEMBER_JOINED
+        if event is not None:
+            self._log.write(
+                event,
+                member=member.node_id,
+                domain=member.failure_domain,
+                incarnation=member.incarnation,
+            )
--- /dev/null
+++ b/jasminebeam/model/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable data that the other packages exchange."""
--- /dev/null
+++ b/jasminebeam/model/requests.py
@@ -0,0 +1,51 @@
+"""Requests and answers as the packages exchange them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One caller's request.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier that is passed on to the upstream.
+    service : str
+        Name of the service that the request belongs to.
+    method, target : str
+        HTTP method and request target (path and query).
+    headers : Headers
+        End-to-end headers.
+    body : bytes
+        Whole request body.
+    idempotent : bool
+        True if an operator declared the request idempotent.
+    deadline_ms : float
+        Monotonic instant in ms after which no answer is wanted.
+    key : str
+        Value of the ``Idempotency-Key`` header, or the empty string.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    idempotent: bool
+    deadline_ms: float
+    key: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """One upstream's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
--- /dev/null
+++ b/jasminebeam/model/services.py
@@ -0,0 +1,111 @@
+"""Service definitions as operators declare them."""
+
+from __future__ import annotations
+
+import dataclasses
+import fnmatch
+import functools
+import re
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRule:
+    """Declares the requests of one method and path pattern idempotent.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method, or ``*`` for each.
+    path_pattern : str
+        Shell-style pattern matched against the path without its query.
+
+    Examples
+    --------
+    >>> RequestRule('GET', '/sessions/*').matches('GET', '/sessions/7')
+    True
+    >>> RequestRule('GET', '/sessions/*').matches('POST', '/sessions/7')
+    False
+    """
+
+    method: str
+    path_pattern: str
+
+    def matches(self, method: str, path: str) -> bool:
+        """Return True if the rule covers the method and path."""
+        if self.method not in ('*', method):
+            return False
+        return _compiled(self.path_pattern).match(path) is not None
+
+
+@functools.lru_cache(maxsize=4096)
+def _compiled(path_pattern: str) -> re.Pattern[str]:
+    return re.compile(fnmatch.translate(path_pattern))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """One service with its budgets and deadlines.
+
+    Parameters
+    ----------
+    name : str
+        Unique name; upstreams announce themselves under it.
+    hosts : tuple of str
+        Values of the Host header that select the service.
+    path_prefix : str
+        Prefix of the path that selects the service.
+    idempotent : tuple of RequestRule
+        Rules that declare requests idempotent.
+    timeout_ms : int
+        Longest time that a request may take.
+    retry_ratio, hedge_ratio : float
+        Retries and hedges allowed, as a share of requests.
+    probes_per_s, probe_bytes_per_s : float
+        Budget of one node for load probes of this service.
+    max_ejected_ratio : float
+        Largest share of the upstreams that may be ejected at once.
+    subset_size : int
+        Number of upstreams that one ingress node uses.
+    key_window_ms : int
+        Time for which an idempotency key's answer is kept.
+    """
+
+    name: str
+    hosts: tuple[str, ...] = ()
+    path_prefix: str = '/'
+    idempotent: tuple[RequestRule, ...] = ()
+    timeout_ms: int = 2_000
+    retry_ratio: float = 0.1
+    hedge_ratio: float = 0.05
+    probes_per_s: float = 4.0
+    probe_bytes_per_s: float = 600.0
+    max_ejected_ratio: float = 0.34
+    subset_size: int = 16
+    key_window_ms: int = 120_000
+
+    def is_idempotent(self, method: str, target: str) -> bool:
+        """Return True if a rule declares the request idempotent."""
+        path = target.partition('?')[0]
+        return any(rule.matches(method, path) for rule in self.idempotent)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRevision:
+    """A service definition at one revision of the store.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    revision : int
+        Store revision of the write; later writes have higher revisions.
+    change_id : str
+        Identifier of the change that wrote this revision.
+    service : Service or None
+        The definition; None marks the service as deleted.
+    """
+
+    name: str
+    revision: int
+    change_id: str
+    service: Service | None
--- /dev/null
+++ b/jasminebeam/node.py
@@ -0,0 +1,441 @@
+"""Composition root: wires the parts of one node."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import ssl
+import typing
+
+from grpclib import server as grpc_server
+import zmq
+
+from jasminebeam.callers import dispatcher
+from jasminebeam.callers import http
+from jasminebeam import clock
+from jasminebeam.configuration import changes
+from jasminebeam.configuration import directory
+from jasminebeam.configuration import relay
+from jasminebeam.membership import gossip
+from jasminebeam.membership import task as membership_task
+from jasminebeam.model import upstreams
+from jasminebeam.operators import service as operators_service
+from jasminebeam.peering import control
+from jasminebeam.peering import messages
+from jasminebeam.peering import pool
+from jasminebeam.peering import security
+from jasminebeam.peering import server as peer_server
+from jasminebeam.platform import etcd
+from jasminebeam.platform import none
+from jasminebeam.routing import policies
+from jasminebeam.routing import probing
+from jasminebeam.routing import selection
+from jasminebeam.routing import table
+from jasminebeam.telemetry import events
+from jasminebeam.telemetry import metrics
+from jasminebeam.upstreams import announcements
+from jasminebeam.upstreams import client
+from jasminebeam.upstreams import sidecar
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import services
+    from jasminebeam import settings as settings_module
+
+PROBE_TICK_S = 0.05
+EXPIRE_TICK_S = 0.02
+LEAVE_GRACE_S = 0.2
+
+_DATA_KINDS = (
+    messages.Hello,
+    messages.Request,
+    messages.Cancel,
+    messages.Revoke,
+    messages.Probe,
+    messages.Ping,
+)
+
+
+class Node:
+    """One node: ingress for callers and sidecar of its upstream.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+
+    Notes
+    -----
+    Call `start`, later `stop`. An application that embeds a node runs
+    both on its own event loop.
+    """
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self._settings = settings
+        place = settings.node
+        self.metrics = metrics.Metrics()
+        self.log = events.EventLog(place.node_id, self.metrics)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._generator = random.Random(secrets.randbits(64))
+        self._context = zmq.Context()
+        boot_id = secrets.randbits(62)
+        self._hello = messages.Hello(place.node_id, boot_id)
+        self.services = directory.ServiceDirectory()
+        self.routes = table.RoutingTable(
+            table.Place(place.node_id, place.failure_domain, place.region)
+        )
+        self.probes = probing.ProbePlanner()
+        self.sidecar = sidecar.Sidecar(
+            boot_id,
+            sidecar.Limits(queue_ratio=settings.upstream.queue_ratio),
+            self.metrics,
+            clock.monotonic_ms,
+        )
+        self._gossip_options = gossip.Options()
+        self._gossip = gossip.Gossip(
+            self._first_record(),
+            self.services,
+            settings.peering.seeds.split(),
+            self._generator,
+            self._gossip_options,
+        )
+        self.membership = membership_task.MembershipTask(
+            self._gossip,
+            self.services,
+            self.routes.update,
+            self._on_revision,
+            self._on_silent,
+            clock.monotonic_ms,
+            self.log,
+            self.metrics,
+        )
+        self._announcements = announcements.AnnouncementServer(
+            self, self.metrics
+        )
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Open all sockets and start the tasks."""
+        settings = self._settings
+        self._start_peering()
+        self._start_ingress()
+        await self._announcements.start(settings.upstream.announce_port)
+        await self._start_platform()
+        await self._start_operators()
+        await self._callers.start(settings.node.host, settings.callers.port)
+        self._spawn(
+            self.membership.run(
+                self._gossip_options.interval_ms, self._generator
+            )
+        )
+        self._spawn(self._tick_peers())
+        self._spawn(self._tick_sidecar())
+        self._spawn(self._probe())
+        self._spawn(self._read_load())
+        self.log.write(
+            events.Event.NODE_STARTED,
+            host=settings.node.host,
+            callers=settings.callers.port,
+            peers=settings.peering.port,
+        )
+
+    async def stop(self) -> None:
+        """Stop gracefully: finish what is in progress, cut nothing."""
+        if self._stopping:
+            return
+        self._stopping = True
+        in_flight = self.sidecar.in_flight
+        self.log.write(events.Event.NODE_STOPPING, in_flight=in_flight)
+        self.sidecar.stop()
+        self.membership.publish(phase=upstreams.Phase.DRAINING)
+        timeout_s = self._settings.node.stop_timeout_ms / 1_000
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._callers.stop()
+                await self.sidecar.wait_idle()
+        except TimeoutError:
+            pass
+        self.membership.leave()
+        await asyncio.sleep(LEAVE_GRACE_S)
+        await self._close()
+        self.log.write(events.Event.NODE_STOPPED)
+
+    def announce_upstream(self, announcement: upstreams.Announcement) -> None:
+        """Take the upstream beside the node into service."""
+        upstream_client = client.HttpUpstreamClient(
+            announcement, self._settings.upstream.max_answer_bytes
+        )
+        former = self.sidecar.attach(announcement, upstream_client)
+        if former is not None:
+            self._spawn(self._close_former(former))
+        self.membership.publish(
+            phase=upstreams.Phase.READY,
+            service=announcement.service,
+            slots=announcement.slots,
+            cold_start_ms=announcement.cold_start_ms,
+            ready_ms=clock.wall_ms(),
+        )
+        self.routes.update(self.membership.me)
+        self.log.write(
+            events.Event.UPSTREAM_ANNOUNCED,
+            service=announcement.service,
+            slots=announcement.slots,
+        )
+
+    def drain_upstream(self) -> int:
+        """Stop new work and return the requests still in progress."""
+        self.sidecar.drain()
+        self.membership.publish(phase=upstreams.Phase.DRAINING)
+        self.routes.update(self.membership.me)
+        in_flight = self.sidecar.in_flight
+        self.log.write(events.Event.UPSTREAM_DRAINING, in_flight=in_flight)
+        return in_flight
+
+    def _first_record(self) -> upstreams.Member:
+        place = self._settings.node
+        return upstreams.Member(
+            node_id=place.node_id,
+            address=f'{place.host}:{self._settings.peering.port}',
+            failure_domain=place.failure_domain,
+            region=place.region,
+            incarnation=clock.wall_ms(),
+            version=1,
+        )
+
+    def _start_peering(self) -> None:
+        peering = self._settings.peering
+        keys = None
+        if peering.secret_key:
+            keys = security.ClientKeys(
+                peering.public_key, peering.secret_key, peering.server_key
+            )
+            self._start_authenticator()
+        self._server = peer_server.PeerServer(
+            self._context,
+            f'{self._settings.node.host}:{peering.port}',
+            peering.secret_key,
+            self.log,
+            self.metrics,
+        )
+        self._factory = pool.LinkFactory(self._context, self._hello, keys)
+        self._control = control.ControlLinks(
+            self._factory.open_control,
+            peering.control_bytes_per_s,
+            self.membership.receive,
+            self.metrics,
+            clock.monotonic_ms(),
+        )
+        self.membership.attach(self._control)
+        self._server.route(_DATA_KINDS, self._on_data)
+        self._server.route(messages.CONTROL_TYPES, self.membership.receive)
+
+    def _start_authenticator(self) -> None:
+        self._authenticator = security.Authenticator(
+            self._context,
+            frozenset(self._settings.peering.allowed_keys.split()),
+            self._on_key_refused,
+        )
+        self._authenticator.start()
+
+    def _start_ingress(self) -> None:
+        routing = self._settings.routing
+        self.pool = pool.PeerPool(
+            self._settings.node.node_id,
+            self._factory,
+            self.sidecar,
+            self.routes,
+            clock.monotonic_ms,
+            self.log,
+            self.metrics,
+        )
+        policy = policies.create(
+            routing.policy, self._generator, routing.choices
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            selection.Selector(self.routes, policy),
+            self.pool,
+            self._generator,
+            dispatcher.Clocks(clock.monotonic_ms, clock.wall_ms),
+            self.log,
+            self.metrics,
+        )
+        self._callers = http.CallerServer(
+            self.services,
+            self.dispatcher,
+            self.probes,
+            self._settings.callers.max_body_bytes,
+            clock.monotonic_ms,
+            self.metrics,
+        )
+
+    async def _start_platform(self) -> None:
+        platform = self._settings.platform
+        if platform.endpoint:
+            self._store = etcd.EtcdStore(
+                platform.endpoint, platform.timeout_ms, self.metrics
+            )
+        else:
+            self._store = none.NoStore()
+        place = self._settings.node
+        self._relay = relay.Relay(
+            self._store,
+            relay.Options(
+                place.failure_domain,
+                self.membership.me.address,
+                platform.relays_per_domain,
+                platform.lease_s,
+            ),
+            self._is_relay_candidate,
+            self.membership.adopt,
+            self._generator,
+            self.log,
+        )
+        if platform.endpoint:
+            self._spawn(self._bootstrap())
+            self._spawn(self._relay.run())
+
+    async def _start_operators(self) -> None:
+        operators = self._settings.operators
+        handler = operators_service.OperatorsService(
+            changes.ServiceEditor(self._store),
+            self.services,
+            self.membership,
+            self.routes,
+            self,
+            self.log,
+            clock.monotonic_ms,
+        )
+        self._operators = grpc_server.Server([handler])
+        await self._operators.start(
+            self._settings.node.host, operators.port, ssl=self._tls()
+        )
+
+    def _tls(self) -> ssl.SSLContext | None:
+        operators = self._settings.operators
+        if not operators.tls_certificate:
+            return None
+        context = ssl.create_default_context(
+            ssl.Purpose.CLIENT_AUTH, cafile=operators.tls_client_ca
+        )
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_cert_chain(operators.tls_certificate, operators.tls_key)
+        context.set_alpn_protocols(['h2'])
+        return context
+
+    async def _bootstrap(self) -> None:
+        """Learn seeds and services from the store, once."""
+        while True:
+            seeds = await relay.read_seeds(self._store)
+            self.membership.add_seeds(seeds)
+            if await self._relay.load_all():
+                return
+            await asyncio.sleep(relay.RETRY_MAX_S * self._generator.random())
+
+    def _is_relay_candidate(self) -> bool:
+        me = self.membership.me
+        chosen = relay.candidates(
+            me,
+            self.membership.members(),
+            self._settings.platform.relays_per_domain,
+        )
+        return me.node_id in chosen
+
+    def _on_data(
+        self,
+        message: messages.Message,
+        send: typing.Callable[[messages.Message], int],
+        size_bytes: int,
+    ) -> None:
+        self.sidecar.handle(message, send)
+
+    def _on_revision(self, revision: services.ServiceRevision) -> None:
+        self.routes.invalidate(revision.name)
+        self.metrics.config_revision.set(self.services.highest)
+        self.log.write(
+            events.Event.CONFIG_APPLIED,
+            service=revision.name,
+            revision=revision.revision,
+            change_id=revision.change_id,
+        )
+
+    def _on_silent(self, domains: frozenset[str]) -> None:
+        self.routes.silent_domains = domains
+
+    def _on_key_refused(self, public_key: str) -> None:
+        self.log.write(events.Event.PEER_UNAUTHORIZED, public_key=public_key)
+
+    async def _tick_peers(self) -> None:
+        interval_s = self._settings.peering.tick_ms / 1_000
+        while True:
+            await asyncio.sleep(interval_s)
+            self.pool.tick(clock.monotonic_ms())
+
+    async def _tick_sidecar(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_TICK_S)
+            self.sidecar.expire(clock.monotonic_ms())
+            self.metrics.in_flight.set(self.sidecar.in_flight)
+            self.metrics.queued.set(self.sidecar.queued)
+
+    async def _probe(self) -> None:
+        while True:
+            await asyncio.sleep(PROBE_TICK_S)
+            now_ms = clock.monotonic_ms()
+            for name in self.probes.services_in_use(now_ms):
+                service = self.services.service(name)
+                if service is not None:
+                    self._probe_service(service, now_ms)
+
+    def _probe_service(self, service: services.Service, now_ms: float) -> None:
+        states = self.routes.subset_of(service.name, service.subset_size)
+        for state in self.probes.plan(service, states, now_ms):
+            member = state.member
+            peer = self.pool.peer(member.node_id, member.address)
+            peer.connect()
+            sent = peer.probe()
+            result = 'sent' if sent else 'not_connected'
+            self.metrics.probes.labels(service.name, result).inc()
+            self.metrics.probe_bytes.labels(service.name).inc(
+                probing.PROBE_WIRE_BYTES
+            )
+
+    async def _read_load(self) -> None:
+        interval_s = self._settings.upstream.load_interval_ms / 1_000
+        while True:
+            await asyncio.sleep(interval_s)
+            await self.sidecar.read_load()
+
+    async def _close_former(self, former: client.UpstreamClient) -> None:
+        await self.sidecar.wait_idle()
+        await former.close()
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._operators.close()
+        await self._operators.wait_closed()
+        await self._announcements.stop()
+        await self._store.close()
+        self.pool.close()
+        self._control.close()
+        self._server.close()
+        if self._settings.peering.secret_key:
+            self._authenticator.stop()
+        await self.sidecar.close()
+        self._context.destroy(linger=0)
+
+    def _spawn(self, coroutine: typing.Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        self.log.write(
+            events.Event.TASK_FAILED,
+            task=task.get_coro().__qualname__,
+            error=repr(task.exception()),
+        )
--- /dev/null
+++ b/jasminebeam/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Remote procedure calls for operators."""
--- /dev/null
+++ b/jasminebeam/operators/convert.py
@@ -0,0 +1,66 @@
+"""Conversion between definitions and their gRPC messages."""
+
+from __future__ import annotations
+
+from jasminebeam.model import services
+from jasminebeam.operators.generated import operators_pb2
+
+_OPTIONAL_FIELDS = (
+    'path_prefix',
+    'timeout_ms',
+    'retry_ratio',
+    'hedge_ratio',
+    'probes_per_s',
+    'probe_bytes_per_s',
+    'max_ejected_ratio',
+    'subset_size',
+    'key_window_ms',
+)
+
+
+def service_from(message: operators_pb2.Service) -> services.Service:
+    """Return the definition of a message; absent fields take defaults."""
+    given = {
+        field: getattr(message, field)
+        for field in _OPTIONAL_FIELDS
+        if message.HasField(field)
+    }
+    rules = tuple(
+        services.RequestRule(rule.method, rule.path_pattern)
+        for rule in message.idempotent
+    )
+    return services.Service(
+        name=message.name,
+        hosts=tuple(message.hosts),
+        idempotent=rules,
+        **given,
+    )
+
+
+def service_to(service: services.Service) -> operators_pb2.Service:
+    """Return the message of a definition, with all fields present."""
+    rules = [
+        operators_pb2.RequestRule(
+            method=rule.method, path_pattern=rule.path_pattern
+        )
+        for rule in service.idempotent
+    ]
+    fields = {field: getattr(service, field) for field in _OPTIONAL_FIELDS}
+    return operators_pb2.Service(
+        name=service.name, hosts=service.hosts, idempotent=rules, **fields
+    )
+
+
+def revision_to(
+    revision: services.ServiceRevision,
+) -> operators_pb2.ServiceRevision:
+    """Return the message of a service revision."""
+    service = None
+    if revision.service is not None:
+        service = service_to(revision.service)
+    return operators_pb2.ServiceRevision(
+        name=revision.name,
+        revision=revision.revision,
+        change_id=revision.change_id,
+        service=service,
+    )
--- /dev/null
+++ b/jasminebeam/operators/service.py
@@ -0,0 +1,238 @@
+"""Implementation of the operators' remote procedure calls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import typing
+
+import grpclib
+from grpclib import const
+from returns import result
+
+from jasminebeam.operators import convert
+from jasminebeam.operators.generated import operators_grpc
+from jasminebeam.operators.generated import operators_pb2
+
+if typing.TYPE_CHECKING:
+    from grpclib import server
+
+    from jasminebeam.configuration import changes
+    from jasminebeam.configuration import directory
+    from jasminebeam.membership import task as membership_task
+    from jasminebeam.model import services
+    from jasminebeam.model import upstreams
+    from jasminebeam.routing import table
+    from jasminebeam.telemetry import events
+
+_STATUS = {
+    'invalid': const.Status.INVALID_ARGUMENT,
+    'conflict': const.Status.ABORTED,
+    'missing': const.Status.NOT_FOUND,
+    'unavailable': const.Status.UNAVAILABLE,
+}
+
+
+class Draining(typing.Protocol):
+    """Stops new work for the upstream beside the node."""
+
+    def drain_upstream(self) -> int:
+        """Drain and return the requests still at the upstream."""
+
+
+class OperatorsService(operators_grpc.OperatorsBase):
+    """Answers operators at one node.
+
+    Parameters
+    ----------
+    editor : ServiceEditor
+        Writes changes to the store.
+    matcher : ServiceDirectory
+        Revisions in force.
+    membership : MembershipTask
+        Knows the members and asks them for revisions.
+    routes : RoutingTable
+        Load samples of the upstreams.
+    draining : Draining
+        Drains the upstream beside the node.
+    log : EventLog
+        Source of the watched events.
+    clock : callable
+        Returns the monotonic time in ms.
+    """
+
+    def __init__(
+        self,
+        editor: changes.ServiceEditor,
+        matcher: directory.ServiceDirectory,
+        membership: membership_task.MembershipTask,
+        routes: table.RoutingTable,
+        draining: Draining,
+        log: events.EventLog,
+        clock: typing.Callable[[], float],
+    ) -> None:
+        self._editor = editor
+        self._matcher = matcher
+        self._membership = membership
+        self._routes = routes
+        self._draining = draining
+        self._log = log
+        self._clock = clock
+
+    async def CreateService(self, stream: server.Stream) -> None:
+        """Create a service that does not exist or was deleted."""
+        request = await _receive(stream)
+        service = convert.service_from(request.service)
+        change = await self._editor.create(service, request.change_id)
+        await self._answer_change(stream, change)
+
+    async def UpdateService(self, stream: server.Stream) -> None:
+        """Replace a definition."""
+        request = await _receive(stream)
+        service = convert.service_from(request.service)
+        change = await self._editor.update(
+            service, request.expected_revision, request.change_id
+        )
+        await self._answer_change(stream, change)
+
+    async def DeleteService(self, stream: server.Stream) -> None:
+        """Replace a definition by a tombstone."""
+        request = await _receive(stream)
+        change = await self._editor.delete(
+            request.name, request.expected_revision, request.change_id
+        )
+        await self._answer_change(stream, change)
+
+    async def GetService(self, stream: server.Stream) -> None:
+        """Return the revision in force at this node."""
+        request = await _receive(stream)
+        revision = self._known(request.name)
+        await stream.send_message(convert.revision_to(revision))
+
+    async def ListServices(self, stream: server.Stream) -> None:
+        """Return the services in force at this node."""
+        await _receive(stream)
+        found = [
+            convert.revision_to(revision)
+            for revision in self._matcher.all()
+            if revision.service is not None
+        ]
+        found.sort(key=lambda message: message.name)
+        await stream.send_message(
+            operators_pb2.ListServicesResponse(services=found)
+        )
+
+    async def ListUpstreams(self, stream: server.Stream) -> None:
+        """Return the members as this node sees them."""
+        request = await _receive(stream)
+        found = [
+            self._upstream(member)
+            for member in self._membership.members()
+            if request.service in ('', member.service)
+        ]
+        found.sort(key=lambda message: (message.service, message.node_id))
+        await stream.send_message(
+            operators_pb2.ListUpstreamsResponse(upstreams=found)
+        )
+
+    async def WhereInForce(self, stream: server.Stream) -> None:
+        """Ask the members which revision is in force there."""
+        request = await _receive(stream)
+        revision = request.revision or self._known(request.name).revision
+        answers = await self._membership.ask_revisions(request.name)
+        behind = [
+            node_id
+            for node_id, found in answers.items()
+            if found is not None and found < revision
+        ]
+        silent = [
+            node_id for node_id, found in answers.items() if found is None
+        ]
+        await stream.send_message(
+            operators_pb2.WhereInForceResponse(
+                revision=revision,
+                in_force=len(answers) - len(behind) - len(silent),
+                behind=sorted(behind),
+                silent=sorted(silent),
+            )
+        )
+
+    async def DrainUpstream(self, stream: server.Stream) -> None:
+        """Stop new work for the upstream beside this node."""
+        request = await _receive(stream)
+        if request.node_id != self._membership.me.node_id:
+            member = self._membership.member(request.node_id)
+            if member is None:
+                detail = f'no node {request.node_id}'
+                raise grpclib.GRPCError(const.Status.NOT_FOUND, detail)
+            detail = f'call the node itself, its peer is {member.address}'
+            raise grpclib.GRPCError(const.Status.FAILED_PRECONDITION, detail)
+        in_flight = self._draining.drain_upstream()
+        await stream.send_message(
+            operators_pb2.DrainUpstreamResponse(in_flight=in_flight)
+        )
+
+    async def WatchEvents(self, stream: server.Stream) -> None:
+        """Stream events as they happen."""
+        await _receive(stream)
+        queue: asyncio.Queue[events.Record] = asyncio.Queue(maxsize=1_000)
+        with self._log.subscribe(queue):
+            while True:
+                record = await queue.get()
+                await stream.send_message(
+                    operators_pb2.Event(
+                        time_ms=record.time_ms,
+                        number=record.kind.number,
+                        text=record.kind.text,
+                        fields_json=json.dumps(record.fields, default=str),
+                    )
+                )
+
+    async def _answer_change(
+        self, stream: server.Stream, change: changes.Change
+    ) -> None:
+        if not isinstance(change, result.Success):
+            rejection = change.failure()
+            detail = rejection.detail
+            if rejection.current_revision:
+                detail += f' (current revision {rejection.current_revision})'
+            raise grpclib.GRPCError(_STATUS[rejection.kind], detail)
+        revision = change.unwrap()
+        self._membership.adopt(revision)
+        await stream.send_message(convert.revision_to(revision))
+
+    def _known(self, name: str) -> services.ServiceRevision:
+        revision = self._matcher.get(name)
+        if revision is None or revision.service is None:
+            raise grpclib.GRPCError(
+                const.Status.NOT_FOUND, f'no service {name!r}'
+            )
+        return revision
+
+    def _upstream(self, member: upstreams.Member) -> operators_pb2.Upstream:
+        state = self._routes.state(member.node_id)
+        sample = state.sample if state is not None else None
+        now_ms = self._clock()
+        return operators_pb2.Upstream(
+            node_id=member.node_id,
+            address=member.address,
+            failure_domain=member.failure_domain,
+            region=member.region,
+            service=member.service,
+            status=member.status.name.lower(),
+            phase=member.phase.name.lower(),
+            slots=member.slots,
+            in_flight=sample.in_flight if sample else 0,
+            queued=sample.queued if sample else 0,
+            sample_age_ms=int(now_ms - state.sample_ms) if sample else -1,
+            ejected=state is not None and state.is_ejected(now_ms),
+        )
+
+
+async def _receive(stream: server.Stream) -> typing.Any:
+    request = await stream.recv_message()
+    if request is None:
+        raise grpclib.GRPCError(
+            const.Status.INVALID_ARGUMENT, 'the request is missing'
+        )
+    return request
--- /dev/null
+++ b/jasminebeam/peering/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between nodes."""
--- /dev/null
+++ b/jasminebeam/peering/codec.py
@@ -0,0 +1,39 @@
+"""Encoding of the inner protocol's messages."""
+
+from __future__ import annotations
+
+import msgspec
+from returns import result
+
+from jasminebeam.peering import messages
+
+_PREFIX = bytes([messages.PROTOCOL_VERSION])
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(messages.AnyMessage)
+
+
+def encode(message: messages.Message) -> bytes:
+    """Return the frame of a message: version byte and msgpack body.
+
+    Examples
+    --------
+    >>> decode(encode(messages.Ping(7))).unwrap()
+    Ping(nonce=7)
+    """
+    return _PREFIX + _encoder.encode(message)
+
+
+def decode(frame: bytes) -> result.Result[messages.Message, str]:
+    """Return the message of a frame, or why the frame is refused.
+
+    Examples
+    --------
+    >>> decode(b'').failure()
+    'unsupported protocol version'
+    """
+    if frame[:1] != _PREFIX:
+        return result.Failure('unsupported protocol version')
+    try:
+        return result.Success(_decoder.decode(memoryview(frame)[1:]))
+    except msgspec.DecodeError as error:
+        return result.Failure(str(error))
--- /dev/null
+++ b/jasminebeam/peering/control.py
@@ -0,0 +1,132 @@
+"""Connections for control messages, bounded and metered."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from jasminebeam.peering import links
+from jasminebeam.peering import messages
+from jasminebeam.retries import budget
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.telemetry import metrics
+
+MAX_LINKS = 32
+MAX_UNANSWERED = 2
+
+# Transfers of tables to nodes that join; not part of the steady budget.
+BULK_BYTES_PER_S = 1_000_000.0
+_BULK = (messages.Sync, messages.SyncDetail, messages.SyncPull)
+
+
+class ControlLinks:
+    """Sends control messages over a bounded number of connections.
+
+    Parameters
+    ----------
+    open_link : callable
+        Opens a connection to an address.
+    bytes_per_s : float
+        Budget of the control messages sent.
+    on_message : callable
+        Receives each message that comes back, and a function that sends
+        one to the same peer.
+    counters : Metrics
+        Counts bytes and what is dropped.
+    now_ms : float
+        Monotonic time of the start.
+    """
+
+    def __init__(
+        self,
+        open_link: typing.Callable[..., links.Link],
+        bytes_per_s: float,
+        on_message: typing.Callable[
+            [messages.Message, typing.Callable[[messages.Message], int]], None
+        ],
+        counters: metrics.Metrics,
+        now_ms: float,
+    ) -> None:
+        self._open_link = open_link
+        self._on_message = on_message
+        self._counters = counters
+        self._links: collections.OrderedDict[str, links.Link] = (
+            collections.OrderedDict()
+        )
+        self._unanswered: dict[str, int] = {}
+        self._budget = budget.RateBudget(bytes_per_s, now_ms)
+        self._bulk_budget = budget.RateBudget(BULK_BYTES_PER_S, now_ms)
+
+    def send(
+        self, address: str, message: messages.Message, now_ms: float
+    ) -> None:
+        """Send a message, or drop it if the budget is used up."""
+        link = self._links.get(address)
+        if link is not None and self._is_silent(address, message):
+            link.lose('silent')
+            link = None
+        if link is None:
+            link = self._open_link(address, self._receive, self._on_lost)
+            self._links[address] = link
+            self._close_oldest()
+        else:
+            self._links.move_to_end(address)
+        self.meter(message, link.send, now_ms)
+
+    def meter(
+        self,
+        message: messages.Message,
+        send: typing.Callable[[messages.Message], int],
+        now_ms: float,
+    ) -> None:
+        """Send a message by a function, within the budget."""
+        bulk = isinstance(message, _BULK)
+        rate = self._bulk_budget if bulk else self._budget
+        if rate.available(now_ms) <= 0:
+            self._counters.control_dropped.labels('budget').inc()
+            return
+        size_bytes = send(message)
+        rate.spend(size_bytes, now_ms)
+        kind = type(message).__name__
+        self._counters.control_bytes.labels('sent', kind).inc(size_bytes)
+
+    def count_received(
+        self, message: messages.Message, size_bytes: int
+    ) -> None:
+        """Count a received control message."""
+        kind = type(message).__name__
+        self._counters.control_bytes.labels('received', kind).inc(size_bytes)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def _receive(
+        self, link: links.Link, message: messages.Message, size_bytes: int
+    ) -> None:
+        self._unanswered.pop(link.address, None)
+        self.count_received(message, size_bytes)
+        self._on_message(message, link.send)
+
+    def _on_lost(self, link: links.Link, lost: links.Lost) -> None:
+        if self._links.get(link.address) is link:
+            del self._links[link.address]
+            self._unanswered.pop(link.address, None)
+            self._counters.links_lost.labels(f'control_{lost.reason}').inc()
+
+    def _is_silent(self, address: str, message: messages.Message) -> bool:
+        """Count a heartbeat; True if too many have had no answer."""
+        if not isinstance(message, messages.Heartbeat):
+            return False
+        count = self._unanswered.get(address, 0) + 1
+        self._unanswered[address] = count
+        return count > MAX_UNANSWERED
+
+    def _close_oldest(self) -> None:
+        while len(self._links) > MAX_LINKS:
+            address, link = self._links.popitem(last=False)
+            self._unanswered.pop(address, None)
+            link.close()
--- /dev/null
+++ b/jasminebeam/peering/messages.py
@@ -0,0 +1,300 @@
+"""Messages of the inner protocol between nodes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from jasminebeam.model import requests
+from jasminebeam.model import services
+from jasminebeam.model import upstreams
+
+PROTOCOL_VERSION = 1
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Base of the inner protocol's messages."""
+
+
+class Hello(Message, tag=1):
+    """Opens a session with a sidecar.
+
+    Parameters
+    ----------
+    node_id : str
+        Name of the ingress node.
+    boot_id : int
+        Random number of the ingress process.
+    """
+
+    node_id: str
+    boot_id: int
+
+
+class Welcome(Message, tag=2):
+    """Grants a session; ``boot_id`` names the sidecar's process."""
+
+    boot_id: int
+    session: int
+    sample: upstreams.LoadSample
+
+
+class Request(Message, tag=3):
+    """Asks a sidecar to run a request.
+
+    Parameters
+    ----------
+    boot_id, session, sequence : int
+        Identity of the request: a sidecar runs it at most once.
+    time_left_us : int
+        Time until the deadline, counted from the sending.
+    request_id, service, method, target, headers, body, idempotent, key
+        As in `jasminebeam.model.requests.Call`.
+    """
+
+    boot_id: int
+    session: int
+    sequence: int
+    time_left_us: int
+    request_id: str
+    service: str
+    method: str
+    target: str
+    headers: requests.Headers
+    body: bytes
+    idempotent: bool
+    key: str
+
+
+class Reply(Message, tag=4):
+    """Carries an upstream's answer and a load sample."""
+
+    session: int
+    sequence: int
+    status: int
+    headers: requests.Headers
+    body: bytes
+    sample: upstreams.LoadSample
+
+
+class Failure(Message, tag=5):
+    """Reports a request without an answer.
+
+    Parameters
+    ----------
+    ran : bool
+        False only if the request provably did not run.
+    reason : str
+        Value of `jasminebeam.verdict.Reason`.
+    """
+
+    session: int
+    sequence: int
+    ran: bool
+    reason: str
+    sample: upstreams.LoadSample
+
+
+class Cancel(Message, tag=6):
+    """Withdraws a request whose answer is no longer wanted."""
+
+    boot_id: int
+    session: int
+    sequence: int
+
+
+class Revoke(Message, tag=7):
+    """Asks for the state of a request and forbids it to start."""
+
+    boot_id: int
+    session: int
+    sequence: int
+
+
+class Running(Message, tag=8):
+    """Answers a revocation: the request has started; a reply follows."""
+
+    session: int
+    sequence: int
+
+
+class Ping(Message, tag=9):
+    """Checks that a connection still delivers."""
+
+    nonce: int
+
+
+class Pong(Message, tag=10):
+    """Answers a ping."""
+
+    nonce: int
+
+
+class Probe(Message, tag=11):
+    """Asks for a load sample."""
+
+    nonce: int
+
+
+class ProbeReply(Message, tag=12):
+    """Carries a load sample."""
+
+    nonce: int
+    sample: upstreams.LoadSample
+
+
+class Heartbeat(Message, tag=13):
+    """Checks a member and spreads membership and configuration.
+
+    Parameters
+    ----------
+    nonce : int
+        Matches the acknowledgement.
+    node_id : str
+        Name of the sending node.
+    member_digest, config_digest : int
+        64-bit digests of the sender's tables.
+    members : tuple of Member
+        Recent changes of membership.
+    revisions : tuple of ServiceRevision
+        Recent changes of configuration.
+    """
+
+    nonce: int
+    node_id: str
+    member_digest: int
+    config_digest: int
+    members: tuple[upstreams.Member, ...] = ()
+    revisions: tuple[services.ServiceRevision, ...] = ()
+
+
+class HeartbeatAck(Message, tag=14):
+    """Acknowledges a heartbeat; the fields are those of a heartbeat."""
+
+    nonce: int
+    node_id: str
+    member_digest: int
+    config_digest: int
+    members: tuple[upstreams.Member, ...] = ()
+    revisions: tuple[services.ServiceRevision, ...] = ()
+
+
+class IndirectProbe(Message, tag=15):
+    """Asks the receiver to check a member on the sender's behalf.
+
+    Parameters
+    ----------
+    node_id : str
+        Member to check.
+    reply_address : str
+        Peer address of the node that wants the result.
+    """
+
+    node_id: str
+    reply_address: str
+
+
+class IndirectResult(Message, tag=16):
+    """Reports that an indirectly probed member has answered."""
+
+    node_id: str
+
+
+class SyncRequest(Message, tag=17):
+    """Starts the repair of tables that differ.
+
+    Parameters
+    ----------
+    sender : Member
+        The sending node's own record.
+    member_groups : tuple of int
+        Digests of the sender's member table by group.
+    config_buckets : tuple of int
+        Digests of the sender's service table by bucket; empty if it is
+        not to be compared.
+    """
+
+    sender: upstreams.Member
+    member_groups: tuple[int, ...]
+    config_buckets: tuple[int, ...]
+
+
+class SyncDetail(Message, tag=18):
+    """Names the bucket digests of the groups that differ.
+
+    Parameters
+    ----------
+    groups : tuple of int
+        Indexes of the groups.
+    buckets : tuple of tuple of int
+        Digests of the buckets of each group.
+    """
+
+    groups: tuple[int, ...]
+    buckets: tuple[tuple[int, ...], ...]
+
+
+class SyncPull(Message, tag=21):
+    """Asks for the members of some buckets."""
+
+    buckets: tuple[int, ...]
+
+
+class Sync(Message, tag=22):
+    """Carries a part of the member and service tables."""
+
+    members: tuple[upstreams.Member, ...] = ()
+    revisions: tuple[services.ServiceRevision, ...] = ()
+
+
+class RevisionQuery(Message, tag=19):
+    """Asks which revision of a service is in force at the receiver."""
+
+    nonce: int
+    service: str
+
+
+class RevisionReply(Message, tag=20):
+    """Names the revision in force; 0 if the service is unknown."""
+
+    nonce: int
+    node_id: str
+    revision: int
+
+
+AnyMessage = (
+    Hello
+    | Welcome
+    | Request
+    | Reply
+    | Failure
+    | Cancel
+    | Revoke
+    | Running
+    | Ping
+    | Pong
+    | Probe
+    | ProbeReply
+    | Heartbeat
+    | HeartbeatAck
+    | IndirectProbe
+    | IndirectResult
+    | SyncRequest
+    | SyncDetail
+    | SyncPull
+    | Sync
+    | RevisionQuery
+    | RevisionReply
+)
+
+CONTROL_TYPES = (
+    Heartbeat,
+    HeartbeatAck,
+    IndirectProbe,
+    IndirectResult,
+    SyncRequest,
+    SyncDetail,
+    SyncPull,
+    Sync,
+    RevisionQuery,
+    RevisionReply,
+)
--- /dev/null
+++ b/jasminebeam/peering/peers.py
@@ -0,0 +1,360 @@
+"""Requests in progress at one sidecar, across lost connections."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+from jasminebeam.model import requests
+from jasminebeam.peering import links
+from jasminebeam.peering import messages
+from jasminebeam.telemetry import events
+from jasminebeam import verdict
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import upstreams
+    from jasminebeam.telemetry import metrics
+
+MAX_WAITING = 256
+REVOKE_TIMEOUT_MS = 1_000.0
+RECONNECT_DELAY_MS = 50.0
+PURGE_AFTER_MS = 5_000.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One sending of a call to one sidecar.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    future : asyncio.Future
+        Resolves to the verdict on this attempt.
+    boot_id, session, sequence : int
+        Identity at the sidecar; zero before the attempt is sent.
+    sent_ms : float
+        Monotonic instant of the sending.
+    resolve_by_ms : float
+        Instant at which a recovery gives up.
+    """
+
+    call: requests.Call
+    future: asyncio.Future[verdict.Verdict]
+    boot_id: int = 0
+    session: int = 0
+    sequence: int = 0
+    sent_ms: float = 0.0
+    resolve_by_ms: float = 0.0
+
+    def resolve(self, result: verdict.Verdict) -> None:
+        """Set the verdict unless there is one."""
+        if not self.future.done():
+            self.future.set_result(result)
+
+
+class Observer(typing.Protocol):
+    """Receives what a connection tells about its upstream."""
+
+    def on_sample(self, sample: upstreams.LoadSample, now_ms: float) -> None:
+        """Record a load sample."""
+
+    def on_round_trip(self, round_trip_ms: float) -> None:
+        """Record the time that a ping and its answer took."""
+
+
+class Peer:
+    """One sidecar: its present connection and the attempts sent to it.
+
+    Parameters
+    ----------
+    open_link : callable
+        Opens a connection, given message and loss callbacks.
+    observer : Observer
+        Receives load samples and round trip times.
+    clock : callable
+        Returns the monotonic time in ms.
+    log, counters
+        Receive losses and revocations.
+    """
+
+    def __init__(
+        self,
+        open_link: typing.Callable[..., links.Link],
+        observer: Observer,
+        clock: typing.Callable[[], float],
+        log: events.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._open_link = open_link
+        self._observer = observer
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._link: links.Link | None = None
+        self._retry_ms = 0.0
+        self._waiting: list[Attempt] = []
+        self._sent: dict[tuple[int, int], Attempt] = {}
+        self._recovering: dict[tuple[int, int], Attempt] = {}
+        self._pings: dict[int, float] = {}
+        self._nonce = 0
+        self.used_ms = clock()
+        self._handlers = {
+            messages.Welcome: self._on_welcome,
+            messages.Reply: self._on_reply,
+            messages.Failure: self._on_failure,
+            messages.Running: self._on_running,
+            messages.Pong: self._on_pong,
+            messages.ProbeReply: self._on_probe_reply,
+        }
+
+    @property
+    def busy(self) -> bool:
+        """True while attempts are in progress."""
+        return bool(self._sent or self._waiting or self._recovering)
+
+    def submit(self, call: requests.Call) -> Attempt:
+        """Send a call, or queue it until the connection is ready."""
+        now_ms = self._clock()
+        self.used_ms = now_ms
+        future = asyncio.get_running_loop().create_future()
+        attempt = Attempt(call, future)
+        if self._link is None and not self._connect(now_ms):
+            attempt.resolve(verdict.not_run(verdict.Reason.NOT_CONNECTED))
+        elif self._link.state is links.LinkState.READY:
+            self._transmit(attempt, now_ms)
+        elif len(self._waiting) < MAX_WAITING:
+            self._waiting.append(attempt)
+        else:
+            attempt.resolve(verdict.not_run(verdict.Reason.NOT_CONNECTED))
+        return attempt
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Withdraw an attempt; its future may still resolve."""
+        if attempt in self._waiting:
+            self._waiting.remove(attempt)
+            attempt.resolve(verdict.not_run(verdict.Reason.CANCELLED))
+        elif self._ready(attempt):
+            self._link.send(
+                messages.Cancel(
+                    attempt.boot_id, attempt.session, attempt.sequence
+                )
+            )
+
+    def revoke(self, attempt: Attempt) -> None:
+        """Ask the sidecar to give an attempt back if it has not begun."""
+        if self._ready(attempt):
+            self._send_revoke(attempt)
+
+    def probe(self) -> int:
+        """Ask for a load sample and return the bytes sent; 0 if none."""
+        link = self._link
+        if link is None or link.state is not links.LinkState.READY:
+            return 0
+        self._nonce += 1
+        return link.send(messages.Probe(self._nonce))
+
+    def connect(self) -> None:
+        """Open the connection if there is none."""
+        self.used_ms = self._clock()
+        if self._link is None:
+            self._connect(self.used_ms)
+
+    def tick(self, now_ms: float, ping: bool) -> None:
+        """Check the connection and give up on late recoveries.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time.
+        ping : bool
+            True if an idle connection is due for a check as well.
+        """
+        for attempt in list(self._recovering.values()):
+            if attempt.resolve_by_ms <= now_ms:
+                self._give_up(attempt)
+        if ping:
+            self._purge(now_ms)
+        if self._link is None:
+            if self._recovering:
+                self._connect(now_ms)
+            return
+        connecting = self._link.state is links.LinkState.CONNECTING
+        if ping or connecting or self.busy:
+            self._nonce += 1
+            self._pings = {self._nonce: now_ms}
+            self._link.tick(self._nonce)
+
+    def close(self) -> None:
+        """Close the connection and resolve what is still open."""
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+        for attempt in self._waiting:
+            attempt.resolve(verdict.not_run(verdict.Reason.NOT_CONNECTED))
+        for attempt in (*self._sent.values(), *self._recovering.values()):
+            attempt.resolve(verdict.may_have_run(verdict.Reason.SIDECAR_LOST))
+        self._waiting.clear()
+        self._sent.clear()
+        self._recovering.clear()
+
+    def _purge(self, now_ms: float) -> None:
+        for request_id, attempt in list(self._sent.items()):
+            late_ms = now_ms - attempt.call.deadline_ms
+            if attempt.future.done() and late_ms > PURGE_AFTER_MS:
+                del self._sent[request_id]
+
+    def _ready(self, attempt: Attempt) -> bool:
+        link = self._link
+        return (
+            link is not None
+            and link.state is links.LinkState.READY
+            and link.boot_id == attempt.boot_id
+        )
+
+    def _connect(self, now_ms: float) -> bool:
+        if now_ms < self._retry_ms:
+            return False
+        self._retry_ms = now_ms + RECONNECT_DELAY_MS
+        self._link = self._open_link(self._on_message, self._on_lost)
+        return True
+
+    def _transmit(self, attempt: Attempt, now_ms: float) -> None:
+        link = self._link
+        call = attempt.call
+        attempt.boot_id = link.boot_id
+        attempt.session = link.session
+        attempt.sequence = link.next_sequence()
+        attempt.sent_ms = now_ms
+        request_id = (attempt.session, attempt.sequence)
+        self._sent[request_id] = attempt
+        sent_bytes = link.send(
+            messages.Request(
+                boot_id=attempt.boot_id,
+                session=attempt.session,
+                sequence=attempt.sequence,
+                time_left_us=int((call.deadline_ms - now_ms) * 1_000),
+                request_id=call.request_id,
+                service=call.service,
+                method=call.method,
+                target=call.target,
+                headers=call.headers,
+                body=call.body,
+                idempotent=call.idempotent,
+                key=call.key,
+            )
+        )
+        if not sent_bytes:
+            self._sent.pop(request_id, None)
+            attempt.resolve(verdict.not_run(verdict.Reason.NOT_CONNECTED))
+
+    def _on_message(
+        self, link: links.Link, message: messages.Message, size_bytes: int
+    ) -> None:
+        if link is not self._link:
+            return
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+
+    def _on_welcome(self, message: messages.Welcome) -> None:
+        now_ms = self._clock()
+        self._retry_ms = 0.0
+        self._observer.on_sample(message.sample, self._clock())
+        for attempt in list(self._recovering.values()):
+            if attempt.boot_id == message.boot_id:
+                self._send_revoke(attempt)
+            else:
+                self._give_up(attempt)
+        waiting = self._waiting
+        self._waiting = []
+        for attempt in waiting:
+            self._transmit(attempt, now_ms)
+
+    def _on_reply(self, message: messages.Reply) -> None:
+        self._observer.on_sample(message.sample, self._clock())
+        attempt = self._take(message.session, message.sequence)
+        if attempt is None:
+            return
+        answer = requests.Answer(message.status, message.headers, message.body)
+        attempt.resolve(verdict.answered(answer))
+
+    def _on_failure(self, message: messages.Failure) -> None:
+        self._observer.on_sample(message.sample, self._clock())
+        attempt = self._take(message.session, message.sequence)
+        if attempt is None:
+            return
+        reason = verdict.Reason(message.reason)
+        if message.ran:
+            attempt.resolve(verdict.may_have_run(reason))
+            return
+        if reason is verdict.Reason.REVOKED:
+            self._counters.revocations.labels('not_run').inc()
+        attempt.resolve(verdict.not_run(reason))
+
+    def _on_running(self, message: messages.Running) -> None:
+        request_id = (message.session, message.sequence)
+        attempt = self._recovering.pop(request_id, None)
+        if attempt is not None:
+            self._counters.revocations.labels('running').inc()
+            self._sent[request_id] = attempt
+
+    def _on_pong(self, message: messages.Pong) -> None:
+        sent_ms = self._pings.pop(message.nonce, None)
+        if sent_ms is not None:
+            self._observer.on_round_trip(self._clock() - sent_ms)
+
+    def _on_probe_reply(self, message: messages.ProbeReply) -> None:
+        self._observer.on_sample(message.sample, self._clock())
+
+    def _take(self, session: int, sequence: int) -> Attempt | None:
+        request_id = (session, sequence)
+        attempt = self._sent.pop(request_id, None)
+        if attempt is None:
+            attempt = self._recovering.pop(request_id, None)
+        if attempt is None:
+            self._counters.late_answers.inc()
+        return attempt
+
+    def _send_revoke(self, attempt: Attempt) -> None:
+        self._link.send(
+            messages.Revoke(attempt.boot_id, attempt.session, attempt.sequence)
+        )
+        self._counters.revocations.labels('sent').inc()
+
+    def _on_lost(self, link: links.Link, lost: links.Lost) -> None:
+        if link is not self._link:
+            return
+        now_ms = self._clock()
+        self._link = None
+        self._pings.clear()
+        self._retry_ms = now_ms + RECONNECT_DELAY_MS
+        self._counters.links_lost.labels(lost.reason).inc()
+        self._log.write(
+            events.Event.LINK_LOST, address=link.address, reason=lost.reason
+        )
+        for attempt in self._waiting:
+            attempt.resolve(verdict.not_run(verdict.Reason.NOT_CONNECTED))
+        self._waiting.clear()
+        self._recover_sent(now_ms)
+
+    def _recover_sent(self, now_ms: float) -> None:
+        for request_id, attempt in self._sent.items():
+            if attempt.call.idempotent:
+                reason = verdict.Reason.SILENT_CONNECTION
+                attempt.resolve(verdict.may_have_run(reason))
+                continue
+            attempt.resolve_by_ms = min(
+                now_ms + REVOKE_TIMEOUT_MS, attempt.call.deadline_ms
+            )
+            self._recovering[request_id] = attempt
+        if self._sent:
+            self._retry_ms = 0.0
+            self._connect(now_ms)
+        self._sent.clear()
+
+    def _give_up(self, attempt: Attempt) -> None:
+        self._recovering.pop((attempt.session, attempt.sequence), None)
+        self._counters.revocations.labels('unknown').inc()
+        attempt.resolve(verdict.may_have_run(verdict.Reason.SIDECAR_LOST))
--- /dev/null
+++ b/jasminebeam/peering/pool.py
@@ -0,0 +1,181 @@
+"""All sidecars that an ingress node talks to."""
+
+from __future__ import annotations
+
+import typing
+
+from jasminebeam.peering import links
+from jasminebeam.peering import messages
+from jasminebeam.peering import peers
+
+if typing.TYPE_CHECKING:
+    import zmq
+
+    from jasminebeam.peering import security
+    from jasminebeam.routing import table
+    from jasminebeam.telemetry import events
+    from jasminebeam.telemetry import metrics
+    from jasminebeam.upstreams import sidecar
+
+IDLE_PING_MS = 5_000.0
+IDLE_CLOSE_MS = 120_000.0
+
+
+class LinkFactory:
+    """Opens connections to peers.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Creates the sockets.
+    hello : Hello
+        Names this node.
+    keys : ClientKeys or None
+        CURVE keys, if the fleet uses them.
+    """
+
+    def __init__(
+        self,
+        context: zmq.Context,
+        hello: messages.Hello,
+        keys: security.ClientKeys | None,
+    ) -> None:
+        self._context = context
+        self.hello = hello
+        self._keys = keys
+
+    def open_data(
+        self,
+        address: str,
+        on_message: typing.Callable[..., None],
+        on_lost: typing.Callable[..., None],
+    ) -> links.Link:
+        """Return a connection for requests, with a session."""
+        return links.Link(
+            self._context,
+            address,
+            self.hello,
+            self._keys,
+            on_message,
+            on_lost,
+        )
+
+    def open_control(
+        self,
+        address: str,
+        on_message: typing.Callable[..., None],
+        on_lost: typing.Callable[..., None],
+    ) -> links.Link:
+        """Return a connection for control messages."""
+        return links.Link(
+            self._context, address, None, self._keys, on_message, on_lost
+        )
+
+
+class PeerPool:
+    """Opens, checks and closes the peers of an ingress node.
+
+    Parameters
+    ----------
+    node_id : str
+        This node; its own sidecar needs no connection.
+    factory : LinkFactory
+        Opens connections.
+    own : Sidecar
+        The sidecar of this process.
+    routes : RoutingTable
+        Receives load samples and round trips.
+    clock : callable
+        Returns the monotonic time in ms.
+    log, counters
+        Receive losses and revocations.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        factory: LinkFactory,
+        own: sidecar.Sidecar,
+        routes: table.RoutingTable,
+        clock: typing.Callable[[], float],
+        log: events.EventLog,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._node_id = node_id
+        self._factory = factory
+        self._own = own
+        self._routes = routes
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._peers: dict[tuple[str, str], peers.Peer] = {}
+        self._pinged_ms = 0.0
+
+    def peer(self, node_id: str, address: str) -> peers.Peer:
+        """Return the peer of a node."""
+        name = (node_id, address)
+        known = self._peers.get(name)
+        if known is None:
+            known = self._open(node_id, address)
+            self._peers[name] = known
+        return known
+
+    def tick(self, now_ms: float) -> None:
+        """Check the connections and close those not used for long."""
+        ping = now_ms - self._pinged_ms >= IDLE_PING_MS
+        if ping:
+            self._pinged_ms = now_ms
+        for name, known in list(self._peers.items()):
+            if not known.busy and now_ms - known.used_ms > IDLE_CLOSE_MS:
+                known.close()
+                del self._peers[name]
+            else:
+                known.tick(now_ms, ping)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for known in self._peers.values():
+            known.close()
+        self._peers.clear()
+
+    def _open(self, node_id: str, address: str) -> peers.Peer:
+        def open_remote(
+            on_message: typing.Callable[..., None],
+            on_lost: typing.Callable[..., None],
+        ) -> links.Link:
+            return self._factory.open_data(address, on_message, on_lost)
+
+        def open_local(
+            on_message: typing.Callable[..., None],
+            on_lost: typing.Callable[..., None],
+        ) -> links.LocalLink:
+            return links.LocalLink(self._own, self._factory.hello, on_message)
+
+        local = node_id == self._node_id
+        return peers.Peer(
+            open_local if local else open_remote,
+            _StateObserver(node_id, self._routes),
+            self._clock,
+            self._log,
+            self._counters,
+        )
+
+
+class _StateObserver:
+    """Passes what a connection tells to the routing table."""
+
+    def __init__(self, node_id: str, routes: table.RoutingTable) -> None:
+        self._node_id = node_id
+        self._routes = routes
+
+    def on_sample(self, sample: typing.Any, now_ms: float) -> None:
+        """Record a load sample."""
+        state = self._routes.state(self._node_id)
+        if state is not None:
+            state.on_sample(sample, now_ms)
+
+    def on_round_trip(self, round_trip_ms: float) -> None:
+        """Record the time that a ping and its answer took."""
+        state = self._routes.state(self._node_id)
+        if state is not None:
+            state.on_round_trip(round_trip_ms)
--- /dev/null
+++ b/jasminebeam/peering/sockets.py
@@ -0,0 +1,138 @@
+"""ZeroMQ sockets on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import zmq
+from zmq.utils import monitor
+
+HIGH_WATER_MARK = 1_000
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+CONNECT_TIMEOUT_MS = 1_000
+READS_PER_WAKEUP = 64
+
+
+class PolledSocket:
+    """Delivers a socket's messages from the event loop, without tasks.
+
+    Parameters
+    ----------
+    socket : zmq.Socket
+        Socket to read; this object closes it.
+    on_frames : callable
+        Called with the list of frames of each message.
+    """
+
+    def __init__(
+        self,
+        socket: zmq.Socket,
+        on_frames: typing.Callable[[list[bytes]], None],
+    ) -> None:
+        self.socket = socket
+        self._on_frames = on_frames
+        self._loop = asyncio.get_running_loop()
+        self._file_descriptor = socket.get(zmq.FD)
+        self._closed = False
+        self._scheduled = False
+        self._loop.add_reader(self._file_descriptor, self._read)
+        self._schedule()
+
+    def send(self, frames: list[bytes]) -> bool:
+        """Queue a message; return False if the socket cannot take it."""
+        if self._closed:
+            return False
+        try:
+            self.socket.send_multipart(frames, zmq.NOBLOCK, copy=True)
+        except zmq.ZMQError:
+            return False
+        # Sending can consume the wakeup that announced a readable message.
+        self._schedule()
+        return True
+
+    def close(self) -> None:
+        """Drop unsent messages and close the socket."""
+        if self._closed:
+            return
+        self._closed = True
+        self._loop.remove_reader(self._file_descriptor)
+        self.socket.close(linger=0)
+
+    def _schedule(self) -> None:
+        if self._scheduled or self._closed:
+            return
+        if self.socket.get(zmq.EVENTS) & zmq.POLLIN:
+            self._scheduled = True
+            self._loop.call_soon(self._read)
+
+    def _read(self) -> None:
+        self._scheduled = False
+        for _ in range(READS_PER_WAKEUP):
+            if self._closed:
+                return
+            try:
+                frames = self.socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._on_frames(frames)
+        self._schedule()
+
+
+class ConnectionMonitor:
+    """Reports when the connection of a socket is lost or refused."""
+
+    _EVENTS = (
+        zmq.EVENT_DISCONNECTED
+        | zmq.EVENT_CLOSED
+        | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+        | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+        | zmq.EVENT_HANDSHAKE_FAILED_AUTH
+    )
+
+    def __init__(
+        self, socket: zmq.Socket, on_lost: typing.Callable[[], None]
+    ) -> None:
+        self._socket = socket
+        self._on_lost = on_lost
+        self._polled = PolledSocket(
+            socket.get_monitor_socket(self._EVENTS), self._on_event
+        )
+
+    def close(self) -> None:
+        """Stop the reports."""
+        self._socket.disable_monitor()
+        self._polled.close()
+
+    def _on_event(self, frames: list[bytes]) -> None:
+        event = monitor.parse_monitor_message(frames)['event']
+        if event & self._EVENTS:
+            self._on_lost()
+
+
+def create_router(context: zmq.Context) -> zmq.Socket:
+    """Return a ROUTER socket that reports unroutable messages."""
+    socket = context.socket(zmq.ROUTER)
+    _limit(socket)
+    socket.set(zmq.ROUTER_MANDATORY, 1)
+    return socket
+
+
+def create_dealer(context: zmq.Context) -> zmq.Socket:
+    """Return a DEALER socket for exactly one connection.
+
+    The socket never reconnects by itself, so no message crosses from a
+    lost connection to a later one.
+    """
+    socket = context.socket(zmq.DEALER)
+    _limit(socket)
+    socket.set(zmq.RECONNECT_IVL, -1)
+    socket.set(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+    return socket
+
+
+def _limit(socket: zmq.Socket) -> None:
+    socket.set(zmq.LINGER, 0)
+    socket.set(zmq.SNDHWM, HIGH_WATER_MARK)
+    socket.set(zmq.RCVHWM, HIGH_WATER_MARK)
+    socket.set(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
--- /dev/null
+++ b/jasminebeam/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's key-value store."""
--- /dev/null
+++ b/jasminebeam/platform/none.py
@@ -0,0 +1,55 @@
+"""Store that is never available, for nodes without one."""
+
+from __future__ import annotations
+
+import typing
+
+from returns import result
+
+from jasminebeam.platform import store
+
+_UNAVAILABLE = result.Failure(store.StoreError.UNAVAILABLE)
+
+
+class NoStore:
+    """Answers each call with `StoreError.UNAVAILABLE`."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    async def get(self, key: str) -> result.Result:
+        """Return that the store is unavailable."""
+        return _UNAVAILABLE
+
+    async def list(self, prefix: str) -> result.Result:
+        """Return that the store is unavailable."""
+        return _UNAVAILABLE
+
+    async def compare_and_set(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease_id: int = 0,
+    ) -> result.Result:
+        """Return that the store is unavailable."""
+        return _UNAVAILABLE
+
+    async def grant_lease(self, ttl_s: int) -> result.Result:
+        """Return that the store is unavailable."""
+        return _UNAVAILABLE
+
+    async def keep_alive(self, lease_id: int) -> result.Result:
+        """Return that the store is unavailable."""
+        return _UNAVAILABLE
+
+    async def revoke_lease(self, lease_id: int) -> result.Result:
+        """Return that the store is unavailable."""
+        return _UNAVAILABLE
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> typing.AsyncIterator[store.KeyValue]:
+        """Yield nothing."""
+        for item in ():
+            yield item
--- /dev/null
+++ b/jasminebeam/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about repeating, hedging and revoking requests."""
--- /dev/null
+++ b/jasminebeam/retries/policy.py
@@ -0,0 +1,111 @@
+"""Decides what follows an attempt."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+from jasminebeam.routing import table
+from jasminebeam import verdict
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import requests
+
+FINAL_HEADER = 'jasminebeam-final'
+MAX_ATTEMPTS = 4
+BASE_DELAY_MS = 1.0
+
+# Another upstream would refuse the request for the same cause.
+_POINTLESS = frozenset(
+    {
+        verdict.Reason.KEY_CONFLICT,
+        verdict.Reason.KEY_BUSY,
+        verdict.Reason.KEY_TABLE_FULL,
+        verdict.Reason.DEADLINE,
+        verdict.Reason.CANCELLED,
+        verdict.Reason.ANSWER_TOO_LARGE,
+    }
+)
+
+
+class Next(enum.Enum):
+    """What follows an attempt."""
+
+    RETURN = 'return'
+    RETRY = 'retry'
+
+
+def decide(
+    call: requests.Call,
+    result: verdict.Verdict,
+    attempts: int,
+    now_ms: float,
+) -> Next:
+    """Return whether a request may be sent again after a result.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    result : Verdict
+        Verdict on the attempt that has ended.
+    attempts : int
+        Attempts sent until now.
+    now_ms : float
+        Monotonic time.
+    """
+    if not may_repeat(call, result):
+        return Next.RETURN
+    if attempts >= MAX_ATTEMPTS or now_ms >= call.deadline_ms:
+        return Next.RETURN
+    return Next.RETRY
+
+
+def may_repeat(call: requests.Call, result: verdict.Verdict) -> bool:
+    """Return True if sending again is safe and can help."""
+    if result.reason in _POINTLESS:
+        return False
+    if result.outcome is verdict.Outcome.NOT_RUN:
+        # Only the owner of a key may run it.
+        return not call.key
+    if not call.idempotent:
+        return False
+    if result.answer is not None:
+        return table.is_failure(result) and not is_final(result.answer)
+    return True
+
+
+def is_final(answer: requests.Answer) -> bool:
+    """Return True if a node further down has used up its retries."""
+    return any(name.lower() == FINAL_HEADER for name, _ in answer.headers)
+
+
+def mark_final(answer: requests.Answer) -> requests.Answer:
+    """Return the answer with the mark that forbids retries further up."""
+    if is_final(answer):
+        return answer
+    marked = (*answer.headers, (FINAL_HEADER, '1'))
+    return dataclasses.replace(answer, headers=marked)
+
+
+def delay_ms(attempts: int, jitter: float) -> float:
+    """Return the time to wait before an attempt.
+
+    Parameters
+    ----------
+    attempts : int
+        Attempts sent until now, at least 1.
+    jitter : float
+        Random number in [0, 1).
+
+    Examples
+    --------
+    >>> delay_ms(1, 0.5)
+    0.0
+    >>> delay_ms(3, 0.5)
+    2.0
+    """
+    if attempts == 1:
+        return 0.0
+    return BASE_DELAY_MS * 2 ** (attempts - 1) * jitter
--- /dev/null
+++ b/jasminebeam/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which upstream serves a request."""
--- /dev/null
+++ b/jasminebeam/routing/policies.py
@@ -0,0 +1,145 @@
+"""Policies that choose one of several upstreams."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from jasminebeam.routing import scoring
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.routing import table
+
+States = typing.Sequence['table.UpstreamState']
+
+
+class Policy(typing.Protocol):
+    """Chooses the upstream of one attempt."""
+
+    def choose(
+        self, candidates: States, now_ms: float, wall_ms: float
+    ) -> table.UpstreamState:
+        """Return one of the candidates, of which there is at least one."""
+
+
+class RandomChoice:
+    """Chooses each upstream with the same probability."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def choose(
+        self, candidates: States, now_ms: float, wall_ms: float
+    ) -> table.UpstreamState:
+        """Return a random candidate."""
+        return self._generator.choice(candidates)
+
+
+class RoundRobin:
+    """Chooses the upstreams in turn, in the order of their names."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._turn = generator.randrange(1_000)
+
+    def choose(
+        self, candidates: States, now_ms: float, wall_ms: float
+    ) -> table.UpstreamState:
+        """Return the next candidate."""
+        self._turn += 1
+        ordered = sorted(candidates, key=lambda state: state.member.node_id)
+        return ordered[self._turn % len(ordered)]
+
+
+class LeastReported:
+    """Chooses the least load that the upstreams themselves report."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def choose(
+        self, candidates: States, now_ms: float, wall_ms: float
+    ) -> table.UpstreamState:
+        """Return the candidate with the least reported load."""
+        return min(
+            candidates,
+            key=lambda state: (_reported(state), self._generator.random()),
+        )
+
+
+class TwoChoices:
+    """Chooses the better of two by this node's own requests."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def choose(
+        self, candidates: States, now_ms: float, wall_ms: float
+    ) -> table.UpstreamState:
+        """Return the one of two random candidates with fewer requests."""
+        pair = self._generator.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda state: len(state.outstanding))
+
+
+class LeastCost:
+    """Chooses the least expected completion time of several.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Source of the random choices.
+    choices : int
+        Candidates that are compared.
+    weights : Weights
+        Parameters of the cost.
+    """
+
+    def __init__(
+        self,
+        generator: random.Random,
+        choices: int,
+        weights: scoring.Weights,
+    ) -> None:
+        self._generator = generator
+        self._choices = choices
+        self._weights = weights
+
+    def choose(
+        self, candidates: States, now_ms: float, wall_ms: float
+    ) -> table.UpstreamState:
+        """Return the cheapest of some random candidates."""
+        means = scoring.compute_means(candidates, self._weights)
+        count = min(self._choices, len(candidates))
+        drawn = self._generator.sample(candidates, count)
+        return min(
+            drawn,
+            key=lambda state: scoring.estimate_cost_ms(
+                state, means, self._weights, now_ms, wall_ms
+            ),
+        )
+
+
+def create(name: str, generator: random.Random, choices: int) -> Policy:
+    """Return the policy of a name.
+
+    Raises
+    ------
+    KeyError
+        If there is no such policy.
+    """
+    if name == 'least_cost':
+        return LeastCost(generator, choices, scoring.Weights())
+    return BASELINES[name](generator)
+
+
+BASELINES = {
+    'random': RandomChoice,
+    'round_robin': RoundRobin,
+    'least_reported': LeastReported,
+    'two_choices': TwoChoices,
+}
+
+
+def _reported(state: table.UpstreamState) -> int:
+    if state.sample is None:
+        return 0
+    return max(0, state.sample.reported)
--- /dev/null
+++ b/jasminebeam/routing/probing.py
@@ -0,0 +1,84 @@
+"""Probes that refresh load samples within the operators' budget."""
+
+from __future__ import annotations
+
+import typing
+
+from jasminebeam.retries import budget
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import services
+    from jasminebeam.routing import table
+
+PROBE_AFTER_MS = 250.0
+RECENT_USE_MS = 2_000.0
+
+# A probe and its reply on the wire, with their TCP and ZeroMQ framing.
+PROBE_WIRE_BYTES = 150.0
+
+
+class _Budgets:
+    def __init__(self, service: services.Service, now_ms: float) -> None:
+        self.limits = (service.probes_per_s, service.probe_bytes_per_s)
+        self.count = budget.RateBudget(service.probes_per_s, now_ms)
+        self.size = budget.RateBudget(service.probe_bytes_per_s, now_ms)
+
+
+class ProbePlanner:
+    """Chooses the upstreams whose samples are too old.
+
+    Services that this node has not called lately cost nothing.
+    """
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, _Budgets] = {}
+        self._used_ms: dict[str, float] = {}
+
+    def on_request(self, service: str, now_ms: float) -> None:
+        """Record that a service is in use."""
+        self._used_ms[service] = now_ms
+
+    def services_in_use(self, now_ms: float) -> list[str]:
+        """Return the services that were called lately."""
+        return [
+            name
+            for name, used_ms in self._used_ms.items()
+            if now_ms - used_ms < RECENT_USE_MS
+        ]
+
+    def plan(
+        self,
+        service: services.Service,
+        states: typing.Sequence[table.UpstreamState],
+        now_ms: float,
+    ) -> list[table.UpstreamState]:
+        """Return the upstreams to probe now, oldest sample first.
+
+        The budget of the service is taken for each of them.
+        """
+        budgets = self._budgets_of(service, now_ms)
+        old = [
+            state
+            for state in states
+            if now_ms - state.sample_ms > PROBE_AFTER_MS
+        ]
+        old.sort(key=lambda state: state.sample_ms)
+        planned = []
+        for state in old:
+            if budgets.size.available(now_ms) < PROBE_WIRE_BYTES:
+                break
+            if not budgets.count.take(1.0, now_ms):
+                break
+            budgets.size.take(PROBE_WIRE_BYTES, now_ms)
+            planned.append(state)
+        return planned
+
+    def _budgets_of(
+        self, service: services.Service, now_ms: float
+    ) -> _Budgets:
+        limits = (service.probes_per_s, service.probe_bytes_per_s)
+        known = self._budgets.get(service.name)
+        if known is None or known.limits != limits:
+            known = _Budgets(service, now_ms)
+            self._budgets[service.name] = known
+        return known
--- /dev/null
+++ b/jasminebeam/routing/scoring.py
@@ -0,0 +1,136 @@
+"""Expected cost of sending a request to an upstream."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.routing import table
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Weights:
+    """Parameters of the cost.
+
+    Parameters
+    ----------
+    default_service_ms : float
+        Service time of an upstream without a sample.
+    stale_ms : float
+        Age at which a sample counts for half; it then decays towards
+        the mean of the other upstreams.
+    failure_ms : float
+        Cost of an upstream whose attempts all fail.
+    stall_ratio : float
+        An oldest request older than this multiple of the service time
+        tells that the upstream has slowed down.
+    cold_factor : float
+        Largest multiple of the service time during a cold start.
+    """
+
+    default_service_ms: float = 5.0
+    stale_ms: float = 200.0
+    failure_ms: float = 500.0
+    stall_ratio: float = 3.0
+    cold_factor: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Means:
+    """Mean load per slot and mean service time of a set of upstreams."""
+
+    load_per_slot: float
+    service_ms: float
+
+
+def compute_means(
+    states: typing.Sequence[table.UpstreamState], weights: Weights
+) -> Means:
+    """Return the means over the upstreams that have a sample."""
+    loads = 0.0
+    service_ms = 0.0
+    count = 0
+    for state in states:
+        sample = state.sample
+        if sample is None or not sample.slots:
+            continue
+        loads += (sample.in_flight + sample.queued) / sample.slots
+        service_ms += sample.service_us / 1_000
+        count += 1
+    if not count:
+        return Means(0.0, weights.default_service_ms)
+    return Means(loads / count, service_ms / count)
+
+
+def estimate_cost_ms(
+    state: table.UpstreamState,
+    means: Means,
+    weights: Weights,
+    now_ms: float,
+    wall_ms: float,
+) -> float:
+    """Return the expected completion time with failures priced in.
+
+    Parameters
+    ----------
+    state : UpstreamState
+        The upstream.
+    means : Means
+        Values that stale samples decay towards.
+    weights : Weights
+        Parameters of the cost.
+    now_ms, wall_ms : float
+        Monotonic and wall-clock time.
+    """
+    sample = state.sample
+    slots = max(1, state.member.slots)
+    if sample is None:
+        load = means.load_per_slot * slots + len(state.outstanding)
+        service_ms = means.service_ms
+    else:
+        age_ms = now_ms - state.sample_ms
+        trust = weights.stale_ms / (weights.stale_ms + age_ms)
+        reported = sample.in_flight + sample.queued
+        mean = means.load_per_slot * slots
+        load = trust * reported + (1 - trust) * mean
+        load += state.sent_since_sample
+        service_ms = trust * sample.service_us / 1_000
+        service_ms += (1 - trust) * means.service_ms
+        service_ms = _stalled_ms(state, service_ms, weights, now_ms)
+    service_ms *= _cold_factor(state, weights, wall_ms)
+    load = max(load, float(len(state.outstanding)))
+    wait_ms = max(0.0, load + 1 - slots) * service_ms / slots
+    busy_ms = load / slots * service_ms * _BUSY_SHARE
+    failure_ms = state.failure_rate * weights.failure_ms
+    return state.round_trip_ms + service_ms + wait_ms + busy_ms + failure_ms
+
+
+# Keeps load apart from upstreams whose slots are not yet full.
+_BUSY_SHARE = 0.5
+
+
+def _stalled_ms(
+    state: table.UpstreamState,
+    service_ms: float,
+    weights: Weights,
+    now_ms: float,
+) -> float:
+    oldest_ms = state.own_oldest_ms(now_ms) - state.round_trip_ms
+    oldest_ms = max(oldest_ms, state.sample.oldest_us / 1_000)
+    if oldest_ms > weights.stall_ratio * service_ms:
+        return oldest_ms
+    return service_ms
+
+
+def _cold_factor(
+    state: table.UpstreamState, weights: Weights, wall_ms: float
+) -> float:
+    cold_start_ms = state.member.cold_start_ms
+    if not cold_start_ms:
+        return 1.0
+    progress = (wall_ms - state.member.ready_ms) / cold_start_ms
+    if progress >= 1.0:
+        return 1.0
+    left = 1.0 - max(0.0, progress)
+    return 1.0 + (weights.cold_factor - 1.0) * left
--- /dev/null
+++ b/jasminebeam/routing/selection.py
@@ -0,0 +1,132 @@
+"""Selection: filters the upstreams, then applies a policy."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from jasminebeam.model import upstreams
+from jasminebeam.routing import subset
+from jasminebeam import verdict
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from jasminebeam.model import services
+    from jasminebeam.routing import policies
+    from jasminebeam.routing import table
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The chosen upstream, or why there is none."""
+
+    state: table.UpstreamState | None
+    reason: verdict.Reason = verdict.Reason.NONE
+
+
+class Selector:
+    """Chooses an upstream for each attempt.
+
+    Parameters
+    ----------
+    routes : RoutingTable
+        The known upstreams.
+    policy : Policy
+        Chooses among the eligible ones.
+    """
+
+    def __init__(
+        self, routes: table.RoutingTable, policy: policies.Policy
+    ) -> None:
+        self._routes = routes
+        self._policy = policy
+
+    def choose(
+        self,
+        service: services.Service,
+        tried: abc.Collection[str],
+        now_ms: float,
+        wall_ms: float,
+    ) -> Choice:
+        """Return the upstream for the next attempt.
+
+        Parameters
+        ----------
+        service : Service
+            Service of the request.
+        tried : collection of str
+            Node ids that this request has tried; they are avoided.
+        now_ms, wall_ms : float
+            Monotonic and wall-clock time.
+        """
+        members = self._routes.subset_of(service.name, service.subset_size)
+        ready = [state for state in members if _is_ready(state)]
+        candidates = eligible(ready, service.max_ejected_ratio, now_ms)
+        fresh = [
+            state for state in candidates if state.member.node_id not in tried
+        ]
+        fresh = self._outside_silent_domains(fresh)
+        if not fresh:
+            return Choice(None, verdict.Reason.NO_UPSTREAM)
+        return Choice(self._policy.choose(fresh, now_ms, wall_ms))
+
+    def _outside_silent_domains(
+        self, states: list[table.UpstreamState]
+    ) -> list[table.UpstreamState]:
+        silent = self._routes.silent_domains
+        if not silent:
+            return states
+        outside = [
+            state
+            for state in states
+            if state.member.failure_domain not in silent
+        ]
+        return outside or states
+
+    def choose_owner(self, service: services.Service, key: str) -> Choice:
+        """Return the upstream that owns an idempotency key.
+
+        All known members take part, also those not ready, so that a
+        repetition never moves to another upstream while its owner is
+        away for a moment.
+        """
+        by_id = {
+            state.member.node_id: state
+            for state in self._routes.all_of(service.name)
+        }
+        node_id = subset.owner(key, by_id)
+        if node_id is None:
+            return Choice(None, verdict.Reason.NO_UPSTREAM)
+        if not _is_ready(by_id[node_id]):
+            return Choice(None, verdict.Reason.KEY_OWNER_UNAVAILABLE)
+        return Choice(by_id[node_id])
+
+
+def eligible(
+    ready: list[table.UpstreamState],
+    max_ejected_ratio: float,
+    now_ms: float,
+) -> list[table.UpstreamState]:
+    """Return the upstreams left after a bounded ejection.
+
+    If more are ejected than the ratio allows, those whose ejection ends
+    first are used again.
+    """
+    ejected = [state for state in ready if state.is_ejected(now_ms)]
+    if not ejected:
+        return ready
+    allowed = int(len(ready) * max_ejected_ratio)
+    ejected.sort(key=lambda state: state.ejected_until_ms, reverse=True)
+    excluded = {state.member.node_id for state in ejected[:allowed]}
+    return [state for state in ready if state.member.node_id not in excluded]
+
+
+def _is_ready(state: table.UpstreamState) -> bool:
+    member = state.member
+    if member.status is not upstreams.Status.ALIVE:
+        return False
+    if member.phase is not upstreams.Phase.READY:
+        return False
+    sample = state.sample
+    return sample is None or sample.phase is upstreams.Phase.READY
--- /dev/null
+++ b/jasminebeam/settings.py
@@ -0,0 +1,276 @@
+"""Settings of a node, read from an INI file and checked."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import pathlib
+import typing
+
+import msgspec
+from returns import result
+
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Name = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=64, pattern=r'^[\w.:-]+$')
+]
+Key = typing.Annotated[str, msgspec.Meta(pattern=r'^(|.{40})$')]
+Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of the sections of the settings file."""
+
+
+class NodeSection(_Section):
+    """Identity and place of the node.
+
+    Parameters
+    ----------
+    node_id : str
+        Unique name of the node.
+    host : str
+        IP address on which peers, callers and operators reach the node.
+    failure_domain, region : str
+        Place of the host.
+    stop_timeout_ms : int
+        Longest time that a graceful stop waits for requests.
+    """
+
+    node_id: Name
+    host: str = '127.0.0.1'
+    failure_domain: Name = 'default'
+    region: Name = 'default'
+    stop_timeout_ms: Milliseconds = 60_000
+
+
+class CallersSection(_Section):
+    """HTTP towards callers.
+
+    Parameters
+    ----------
+    port : int
+        Port of the HTTP server.
+    max_body_bytes : int
+        Largest request body.
+    """
+
+    port: Port
+    max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=0, le=1_048_576)] = (
+        262_144
+    )
+
+
+class PeeringSection(_Section):
+    """Connections between nodes.
+
+    Parameters
+    ----------
+    port : int
+        Port of the peer socket.
+    seeds : str
+        Peer addresses (``host:port``), separated by spaces, that serve
+        when the store does not answer.
+    tick_ms : int
+        Time between two checks of a connection in use; a connection is
+        given up after five checks without an answer.
+    control_bytes_per_s : int
+        Budget of control messages sent.
+    public_key, secret_key, server_key : str
+        CURVE keys in Z85; all empty for plain connections.
+    allowed_keys : str
+        Public keys that may connect, separated by spaces.
+    """
+
+    port: Port
+    seeds: str = ''
+    tick_ms: typing.Annotated[int, msgspec.Meta(ge=10, le=10_000)] = 100
+    control_bytes_per_s: typing.Annotated[
+        int, msgspec.Meta(ge=1_000, le=10_000_000)
+    ] = 12_000
+    public_key: Key = ''
+    secret_key: Key = ''
+    server_key: Key = ''
+    allowed_keys: str = ''
+
+
+class UpstreamSection(_Section):
+    """The upstream beside the node.
+
+    Parameters
+    ----------
+    announce_port : int
+        Loopback port on which the upstream announces itself, and on
+        which metrics are served.
+    queue_ratio : float
+        Longest queue as a multiple of the upstream's slots.
+    max_answer_bytes : int
+        Largest answer body.
+    load_interval_ms : int
+        Time between two reads of the upstream's load report.
+    """
+
+    announce_port: Port
+    queue_ratio: typing.Annotated[float, msgspec.Meta(ge=0, le=100)] = 1.0
+    max_answer_bytes: typing.Annotated[
+        int, msgspec.Meta(ge=1, le=1_048_576)
+    ] = 1_048_576
+    load_interval_ms: Milliseconds = 1_000
+
+
+class OperatorsSection(_Section):
+    """Remote procedure calls for operators.
+
+    Parameters
+    ----------
+    port : int
+        Port of the gRPC server.
+    tls_certificate, tls_key, tls_client_ca : str
+        Paths of PEM files; all empty for plain connections.
+    """
+
+    port: Port
+    tls_certificate: str = ''
+    tls_key: str = ''
+    tls_client_ca: str = ''
+
+
+class PlatformSection(_Section):
+    """The platform's key-value store.
+
+    Parameters
+    ----------
+    endpoint : str
+        Base URL of the store's JSON interface; empty if there is none.
+    timeout_ms : int
+        Longest time of one call.
+    relays_per_domain : int
+        Nodes of a failure domain that hold a watch.
+    lease_s : int
+        Time to live of a relay's lease.
+    """
+
+    endpoint: str = ''
+    timeout_ms: Milliseconds = 1_000
+    relays_per_domain: typing.Annotated[int, msgspec.Meta(ge=1, le=8)] = 2
+    lease_s: typing.Annotated[int, msgspec.Meta(ge=2, le=600)] = 10
+
+
+class RoutingSection(_Section):
+    """Choice of the upstream.
+
+    Parameters
+    ----------
+    policy : str
+        Name of the policy.
+    choices : int
+        Upstreams that the policy ``least_cost`` compares.
+    """
+
+    policy: typing.Literal[
+        'least_cost', 'random', 'round_robin', 'least_reported', 'two_choices'
+    ] = 'least_cost'
+    choices: typing.Annotated[int, msgspec.Meta(ge=1, le=64)] = 4
+
+
+class TelemetrySection(_Section):
+    """Logs.
+
+    Parameters
+    ----------
+    log_format : str
+        ``text`` or ``json``.
+    log_level : str
+        Lowest level that is written.
+    """
+
+    log_format: typing.Literal['text', 'json'] = 'text'
+    log_level: typing.Literal['debug', 'info', 'warning', 'error'] = 'info'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """All sections of a node's settings."""
+
+    node: NodeSection
+    callers: CallersSection
+    peering: PeeringSection
+    upstream: UpstreamSection
+    operators: OperatorsSection
+    platform: PlatformSection
+    routing: RoutingSection
+    telemetry: TelemetrySection
+
+
+SECTIONS: dict[str, type[_Section]] = {
+    'node': NodeSection,
+    'callers': CallersSection,
+    'peering': PeeringSection,
+    'upstream': UpstreamSection,
+    'operators': OperatorsSection,
+    'platform': PlatformSection,
+    'routing': RoutingSection,
+    'telemetry': TelemetrySection,
+}
+
+
+def load(path: pathlib.Path) -> result.Result[Settings, str]:
+    """Return the settings of a file, or a message naming what is wrong."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return result.Failure(f'{path}: {error.strerror}')
+    return parse(text)
+
+
+def parse(text: str) -> result.Result[Settings, str]:
+    """Return the settings of an INI text, or what is wrong with it.
+
+    Examples
+    --------
+    >>> parse('[node]').failure()
+    '[node] Object missing required field `node_id`'
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return result.Failure(str(error).replace('\n', ' '))
+    unknown = set(parser.sections()) - set(SECTIONS)
+    if unknown:
+        return result.Failure(f'unknown section [{min(unknown)}]')
+    sections = {}
+    for name, kind in SECTIONS.items():
+        values = dict(parser[name]) if name in parser else {}
+        try:
+            sections[name] = msgspec.convert(values, kind, strict=False)
+        except msgspec.ValidationError as error:
+            return result.Failure(f'[{name}] {_describe(error)}')
+    return _check_together(Settings(**sections))
+
+
+def _describe(error: msgspec.ValidationError) -> str:
+    text, _, path = str(error).partition(' - at ')
+    key = path.strip('`').removeprefix('$.')
+    return f'{key}: {text}' if key else text
+
+
+def _check_together(settings: Settings) -> result.Result[Settings, str]:
+    peering = settings.peering
+    keys = (peering.public_key, peering.secret_key, peering.server_key)
+    if any(keys) and not all(keys):
+        return result.Failure(
+            '[peering] public_key, secret_key and server_key go together'
+        )
+    operators = settings.operators
+    files = (
+        operators.tls_certificate,
+        operators.tls_key,
+        operators.tls_client_ca,
+    )
+    if any(files) and not all(files):
+        return result.Failure(
+            '[operators] tls_certificate, tls_key and tls_client_ca '
+            'go together'
+        )
+    return result.Success(settings)
--- /dev/null
+++ b/jasminebeam/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and metrics."""
--- /dev/null
+++ b/jasminebeam/telemetry/events.py
@@ -0,0 +1,154 @@
+"""Numbered log events."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import json
+import sys
+import typing
+
+import logbook
+
+from jasminebeam import clock
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.telemetry import metrics
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventKind:
+    """Number, level and meaning of one kind of event."""
+
+    number: int
+    level: int
+    text: str
+
+
+class Event(enum.Enum):
+    """Catalogue of the events; docs/events.md explains each."""
+
+    NODE_STARTED = EventKind(100, logbook.INFO, 'node started')
+    NODE_STOPPING = EventKind(101, logbook.INFO, 'graceful stop started')
+    NODE_STOPPED = EventKind(102, logbook.INFO, 'node stopped')
+    TASK_FAILED = EventKind(103, logbook.ERROR, 'background task failed')
+    UPSTREAM_ANNOUNCED = EventKind(200, logbook.INFO, 'upstream announced')
+    UPSTREAM_DRAINING = EventKind(201, logbook.INFO, 'upstream draining')
+    UPSTREAM_GONE = EventKind(202, logbook.WARNING, 'upstream left')
+    LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
+    REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
+    FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
+    PEER_UNAUTHORIZED = EventKind(303, logbook.WARNING, 'peer key refused')
+    MEMBER_JOINED = EventKind(400, logbook.INFO, 'member joined')
+    MEMBER_SUSPECTED = EventKind(401, logbook.INFO, 'member suspected')
+    MEMBER_DEAD = EventKind(402, logbook.WARNING, 'member declared dead')
+    MEMBER_LEFT = EventKind(403, logbook.INFO, 'member left')
+    SELF_REFUTED = EventKind(404, logbook.WARNING, 'suspicion of self refuted')
+    DOMAIN_SILENT = EventKind(
+        405, logbook.WARNING, 'failure domain silent; suspicions held'
+    )
+    DOMAIN_BACK = EventKind(406, logbook.INFO, 'failure domain answers again')
+    CONFIG_APPLIED = EventKind(500, logbook.INFO, 'revision in force')
+    CONFIG_REFUSED = EventKind(501, logbook.WARNING, 'revision refused')
+    RELAY_ACQUIRED = EventKind(502, logbook.INFO, 'relay lease acquired')
+    RELAY_LOST = EventKind(503, logbook.WARNING, 'relay lease lost')
+    STORE_UNAVAILABLE = EventKind(504, logbook.WARNING, 'store unavailable')
+    STORE_AVAILABLE = EventKind(505, logbook.INFO, 'store available again')
+    UPSTREAM_EJECTED = EventKind(
+        600, logbook.WARNING, 'upstream ejected from selection'
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One event that has happened."""
+
+    time_ms: int
+    kind: EventKind
+    fields: dict[str, object]
+
+
+class EventLog:
+    """Writes events, counts them and passes them to subscribers.
+
+    Parameters
+    ----------
+    node_id : str
+        Name of the node, part of each record.
+    counters : Metrics
+        Receives the count of each event number.
+    """
+
+    def __init__(self, node_id: str, counters: metrics.Metrics) -> None:
+        self._logger = logbook.Logger(node_id)
+        self._counters = counters
+        self._subscribers: list[asyncio.Queue[Record]] = []
+
+    @contextlib.contextmanager
+    def subscribe(self, queue: asyncio.Queue[Record]) -> typing.Iterator[None]:
+        """Put the events into a queue; those beyond its size are lost."""
+        self._subscribers.append(queue)
+        try:
+            yield
+        finally:
+            self._subscribers.remove(queue)
+
+    def write(self, event: Event, **fields: object) -> None:
+        """Write one event with its fields."""
+        kind = event.value
+        self._counters.events.labels(str(kind.number)).inc()
+        self._logger.log(
+            kind.level,
+            kind.text,
+            extra={'number': kind.number, 'fields': fields},
+        )
+        if not self._subscribers:
+            return
+        record = Record(clock.wall_ms(), kind, fields)
+        for queue in self._subscribers:
+            if not queue.full():
+                queue.put_nowait(record)
+
+
+def open_handler(log_format: str, level: str) -> logbook.Handler:
+    """Return a handler that writes events to standard error.
+
+    Parameters
+    ----------
+    log_format : str
+        ``text`` or ``json`` (one object a line).
+    level : str
+        Name of the lowest level that is written.
+    """
+    handler = logbook.StreamHandler(
+        sys.stderr, level=logbook.lookup_level(level.upper())
+    )
+    handler.formatter = _format_json if log_format == 'json' else _format_text
+    return handler
+
+
+def _format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    return json.dumps(
+        {
+            'time': record.time.isoformat(timespec='milliseconds'),
+            'level': record.level_name,
+            'node': record.channel,
+            'event': record.extra['number'],
+            'text': record.message,
+            **record.extra['fields'],
+        },
+        default=str,
+    )
+
+
+def _format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    fields = ' '.join(
+        f'{name}={value}' for name, value in record.extra['fields'].items()
+    )
+    return (
+        f'{record.time.isoformat(timespec="milliseconds")} '
+        f'{record.level_name} {record.channel} '
+        f'[{record.extra["number"]}] {record.message} {fields}'
+    ).rstrip()
--- /dev/null
+++ b/jasminebeam/telemetry/metrics.py
@@ -0,0 +1,133 @@
+"""Prometheus metrics of one node."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+LATENCY_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+)
+
+
+class Metrics:
+    """Counters, gauges and histograms in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            'requests', 'Requests by service and outcome.', 'service outcome'
+        )
+        self.retries = self._counter(
+            'retries', 'Attempts sent again, by reason.', 'service reason'
+        )
+        self.retries_denied = self._counter(
+            'retries_denied',
+            'Retries and hedges that were not sent, by reason.',
+            'service reason',
+        )
+        self.hedges = self._counter(
+            'hedges', 'Hedged attempts by result.', 'service result'
+        )
+        self.refusals = self._counter(
+            'refusals', 'Requests refused by the sidecar.', 'reason'
+        )
+        self.caller_errors = self._counter(
+            'caller_errors', 'Malformed caller requests.', 'status'
+        )
+        self.runs = self._counter(
+            'runs', 'Requests handed to the upstream.', 'outcome'
+        )
+        self.late_answers = self._counter(
+            'late_answers', 'Answers dropped because nobody waits.', ''
+        )
+        self.revocations = self._counter(
+            'revocations', 'Revocations by result.', 'result'
+        )
+        self.links_lost = self._counter(
+            'links_lost', 'Connections to peers lost, by reason.', 'reason'
+        )
+        self.frames_refused = self._counter(
+            'frames_refused', 'Inner protocol frames refused.', ''
+        )
+        self.probes = self._counter(
+            'probes', 'Load probes by result.', 'service result'
+        )
+        self.probe_bytes = self._counter(
+            'probe_bytes', 'Bytes of load probes, both ways.', 'service'
+        )
+        self.control_bytes = self._counter(
+            'control_bytes', 'Bytes of control messages.', 'direction type'
+        )
+        self.control_dropped = self._counter(
+            'control_dropped', 'Control items dropped, by reason.', 'reason'
+        )
+        self.store_calls = self._counter(
+            'store_calls',
+            'Calls to the store by kind and result.',
+            'kind result',
+        )
+        self.ejections = self._counter(
+            'ejections', 'Upstreams ejected from selection.', 'service'
+        )
+        self.events = self._counter(
+            'events', 'Log events by number.', 'number'
+        )
+        self.in_flight = self._gauge('in_flight', 'Requests at the upstream.')
+        self.queued = self._gauge('queued', 'Requests that wait for a slot.')
+        self.members = prometheus_client.Gauge(
+            'jasminebeam_members',
+            'Known members by status.',
+            ['status'],
+            registry=self.registry,
+        )
+        self.config_revision = self._gauge(
+            'config_revision', 'Highest configuration revision in force.'
+        )
+        self.latency = self._histogram(
+            'request_seconds', 'Time to answer a caller.', 'service'
+        )
+        self.wait = self._histogram(
+            'queue_seconds', 'Time that requests waited for a slot.', ''
+        )
+
+    def render(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _counter(
+        self, name: str, text: str, labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f'jasminebeam_{name}',
+            text,
+            labels.split(),
+            registry=self.registry,
+        )
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f'jasminebeam_{name}', text, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, labels: str
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f'jasminebeam_{name}',
+            text,
+            labels.split(),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/jasminebeam/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards the upstream beside the node."""
--- /dev/null
+++ b/jasminebeam/upstreams/announcements.py
@@ -0,0 +1,103 @@
+"""HTTP on loopback: announcements, drain, health and metrics."""
+
+from __future__ import annotations
+
+import typing
+
+from aiohttp import web
+import msgspec
+
+from jasminebeam.model import upstreams
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.telemetry import metrics
+
+MAX_ANNOUNCEMENT_BYTES = 16_384
+
+
+class AnnouncementTarget(typing.Protocol):
+    """Acts on what the upstream announces."""
+
+    def announce_upstream(self, announcement: upstreams.Announcement) -> None:
+        """Take an upstream into service."""
+
+    def drain_upstream(self) -> int:
+        """Drain and return the requests still at the upstream."""
+
+
+class AnnouncementServer:
+    """Serves the upstream beside the node, and scrapers of metrics.
+
+    Parameters
+    ----------
+    target : AnnouncementTarget
+        Acts on announcements.
+    counters : Metrics
+        Metrics to serve.
+    """
+
+    def __init__(
+        self, target: AnnouncementTarget, counters: metrics.Metrics
+    ) -> None:
+        self._target = target
+        self._counters = counters
+        application = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
+        application.add_routes(
+            [
+                web.post('/announce', self._announce),
+                web.post('/drain', self._drain),
+                web.get('/metrics', self._metrics),
+                web.get('/health', self._health),
+            ]
+        )
+        self._runner = web.AppRunner(application, access_log=None)
+
+    async def start(self, port: int) -> None:
+        """Listen on the loopback address."""
+        await self._runner.setup()
+        await web.TCPSite(self._runner, '127.0.0.1', port).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        try:
+            announcement = msgspec.json.decode(
+                await request.read(), type=upstreams.Announcement
+            )
+        except msgspec.DecodeError as error:
+            return web.json_response({'error': str(error)}, status=400)
+        problem = _check(announcement)
+        if problem:
+            return web.json_response({'error': problem}, status=400)
+        self._target.announce_upstream(announcement)
+        return web.json_response({'accepted': True})
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        in_flight = self._target.drain_upstream()
+        return web.json_response({'in_flight': in_flight})
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._counters.render(),
+            headers={'Content-Type': 'text/plain; version=0.0.4'},
+        )
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.json_response({'alive': True})
+
+
+def _check(announcement: upstreams.Announcement) -> str:
+    """Return what is wrong with an announcement; empty if nothing."""
+    if not announcement.service:
+        return 'service: must not be empty'
+    if not 1 <= announcement.port <= 65_535:
+        return 'port: must be between 1 and 65535'
+    if announcement.slots < 1:
+        return 'slots: must be at least 1'
+    if announcement.connections < 1:
+        return 'connections: must be at least 1'
+    if announcement.cold_start_ms < 0:
+        return 'cold_start_ms: must not be negative'
+    return ''
--- /dev/null
+++ b/jasminebeam/upstreams/sidecar.py
@@ -0,0 +1,399 @@
+"""Sidecar role: the only way in to the upstream beside the node."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+import typing
+
+from jasminebeam.admission import slots
+from jasminebeam.model import requests
+from jasminebeam.model import upstreams
+from jasminebeam.peering import messages
+from jasminebeam.retries import keys
+from jasminebeam.retries import registry
+from jasminebeam import verdict
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.telemetry import metrics
+    from jasminebeam.upstreams import client
+
+Send = typing.Callable[[messages.Message], object]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of the sidecar.
+
+    Parameters
+    ----------
+    queue_ratio : float
+        Longest queue as a multiple of the upstream's slots.
+    key_window_ms : float
+        Time for which the answers of idempotency keys are kept.
+    max_keys : int
+        Idempotency keys kept.
+    registry : jasminebeam.retries.registry.Limits
+        Bounds of the request registry.
+    """
+
+    queue_ratio: float = 1.0
+    key_window_ms: float = 120_000.0
+    max_keys: int = 20_000
+    registry: registry.Limits = dataclasses.field(
+        default_factory=registry.Limits
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    call: requests.Call
+    send: Send
+    accepted_ms: float
+    holds_key: bool = False
+    task: asyncio.Task[verdict.Verdict] | None = None
+
+
+class Sidecar:
+    """Admits requests, hands each over at most once, and answers.
+
+    Parameters
+    ----------
+    boot_id : int
+        Random number of this process; part of each request's identity.
+    limits : Limits
+        Bounds of state and queue.
+    counters : Metrics
+        Counters of refusals and runs.
+    clock : callable
+        Returns the monotonic time in ms.
+    """
+
+    def __init__(
+        self,
+        boot_id: int,
+        limits: Limits,
+        counters: metrics.Metrics,
+        clock: typing.Callable[[], float],
+    ) -> None:
+        self.boot_id = boot_id
+        self.phase = upstreams.Phase.ABSENT
+        self.announcement: upstreams.Announcement | None = None
+        self.reported_load = -1
+        self._stopping = False
+        self._limits = limits
+        self._counters = counters
+        self._clock = clock
+        self._client: client.UpstreamClient | None = None
+        self._slots = slots.SlotQueue(0, limits.queue_ratio)
+        self._registry = registry.RequestRegistry(limits.registry)
+        self._keys = keys.KeyedAnswers(limits.key_window_ms, limits.max_keys)
+        self._work: dict[registry.RequestId, _Work] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._handlers = {
+            messages.Hello: self._on_hello,
+            messages.Request: self._on_request,
+            messages.Cancel: self._on_cancel,
+            messages.Revoke: self._on_revoke,
+            messages.Probe: self._on_probe,
+            messages.Ping: self._on_ping,
+        }
+
+    def attach(
+        self,
+        announcement: upstreams.Announcement,
+        upstream_client: client.UpstreamClient,
+    ) -> client.UpstreamClient | None:
+        """Take an upstream into service and return the former client."""
+        former = self._client
+        self._client = upstream_client
+        self.announcement = announcement
+        self.phase = upstreams.Phase.READY
+        self._slots.slots = announcement.slots
+        return former
+
+    def drain(self) -> None:
+        """Refuse new work; what is accepted is finished."""
+        if self.phase is upstreams.Phase.READY:
+            self.phase = upstreams.Phase.DRAINING
+
+    def stop(self) -> None:
+        """Refuse new work because the node itself stops."""
+        self._stopping = True
+        self.drain()
+
+    async def wait_idle(self) -> None:
+        """Return when no accepted request is left."""
+        await self._idle.wait()
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests at the upstream."""
+        return self._slots.in_flight
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for a slot."""
+        return self._slots.queued
+
+    def handle(self, message: messages.Message, send: Send) -> None:
+        """Act on one message of an ingress node.
+
+        Parameters
+        ----------
+        message : Message
+            Request, cancellation, revocation, probe, ping or hello.
+        send : callable
+            Sends a message back to the node.
+        """
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message, send)
+
+    async def read_load(self) -> None:
+        """Read the upstream's own (late) report of its load."""
+        if self._client is not None:
+            self.reported_load = await self._client.fetch_load()
+
+    async def close(self) -> None:
+        """Close the connections to the upstream."""
+        if self._client is not None:
+            await self._client.close()
+
+    def expire(self, now_ms: float) -> None:
+        """Drop late queued requests and old results."""
+        for request_id in self._slots.expired(now_ms):
+            self._finish(
+                request_id, verdict.not_run(verdict.Reason.DEADLINE), now_ms
+            )
+        self._registry.expire(now_ms)
+
+    def sample(self, now_ms: float) -> upstreams.LoadSample:
+        """Return the load at this moment."""
+        return self._slots.sample(self.phase, self.reported_load, now_ms)
+
+    def _on_hello(self, message: messages.Hello, send: Send) -> None:
+        session = self._registry.open_session()
+        sample = self.sample(self._clock())
+        send(messages.Welcome(self.boot_id, session, sample))
+
+    def _on_ping(self, message: messages.Ping, send: Send) -> None:
+        send(messages.Pong(message.nonce))
+
+    def _on_probe(self, message: messages.Probe, send: Send) -> None:
+        sample = self.sample(self._clock())
+        send(messages.ProbeReply(message.nonce, sample))
+
+    def _on_request(self, message: messages.Request, send: Send) -> None:
+        now_ms = self._clock()
+        request_id = (message.session, message.sequence)
+        if message.boot_id != self.boot_id:
+            # A duplicate may have run in the former process: no proof.
+            reason = verdict.Reason.WRONG_INCARNATION
+            self._refuse(request_id, reason, True, send)
+            return
+        before = self._registry.accept(request_id, now_ms)
+        if before is not registry.State.NEW:
+            self._answer_known(request_id, before, send)
+            return
+        work = _Work(_call_from(message, now_ms), send, now_ms)
+        self._work[request_id] = work
+        self._idle.clear()
+        self._admit(request_id, work, now_ms)
+
+    def _admit(
+        self,
+        request_id: registry.RequestId,
+        work: _Work,
+        now_ms: float,
+    ) -> None:
+        refused = self._check_ready(work.call)
+        if refused is None and work.call.key:
+            refused = self._claim_key(work, now_ms)
+        if refused is not None:
+            self._finish(request_id, refused, now_ms)
+            return
+        deadline_ms = work.call.deadline_ms
+        decision = self._slots.offer(request_id, deadline_ms, now_ms)
+        if decision.step is slots.Step.START:
+            self._start(request_id, now_ms)
+        elif decision.step is slots.Step.REFUSE:
+            refused = verdict.not_run(decision.reason)
+            self._finish(request_id, refused, now_ms)
+
+    def _check_ready(self, call: requests.Call) -> verdict.Verdict | None:
+        if self._stopping:
+            return verdict.not_run(verdict.Reason.STOPPING)
+        if self.phase is upstreams.Phase.DRAINING:
+            return verdict.not_run(verdict.Reason.DRAINING)
+        if self.announcement is None:
+            return verdict.not_run(verdict.Reason.NOT_READY)
+        if self.announcement.service != call.service:
+            return verdict.not_run(verdict.Reason.NO_SERVICE)
+        return None
+
+    def _claim_key(self, work: _Work, now_ms: float) -> verdict.Verdict | None:
+        call = work.call
+        digest = keys.fingerprint(
+            call.service, call.method, call.target, call.body
+        )
+        kept = self._keys.claim(call.key, digest, now_ms)
+        work.holds_key = kept is None
+        return kept
+
+    def _start(self, request_id: registry.RequestId, now_ms: float) -> None:
+        work = self._work[request_id]
+        if not self._registry.start(request_id, now_ms):
+            raise AssertionError(f'request {request_id} started twice')
+        self._counters.wait.observe((now_ms - work.accepted_ms) / 1_000)
+        timeout_ms = work.call.deadline_ms - now_ms
+        work.task = asyncio.create_task(
+            self._client.run(work.call, timeout_ms)
+        )
+        work.task.add_done_callback(
+            functools.partial(self._complete, request_id)
+        )
+
+    def _complete(
+        self,
+        request_id: registry.RequestId,
+        task: asyncio.Task[verdict.Verdict],
+    ) -> None:
+        now_ms = self._clock()
+        result = _result_of(task)
+        self._counters.runs.labels(result.outcome.value).inc()
+        measured = result.outcome is verdict.Outcome.ANSWERED
+        released = self._slots.release(request_id, now_ms, measured)
+        self._finish(request_id, result, now_ms)
+        for late in released.expired:
+            reason = verdict.Reason.DEADLINE
+            self._finish(late, verdict.not_run(reason), now_ms)
+        for waiting in released.start:
+            self._start(waiting, now_ms)
+
+    def _finish(
+        self,
+        request_id: registry.RequestId,
+        result: verdict.Verdict,
+        now_ms: float,
+    ) -> None:
+        self._registry.finish(request_id, result, now_ms)
+        work = self._work.pop(request_id)
+        if work.holds_key:
+            self._keys.settle(work.call.key, result, now_ms)
+        if result.outcome is verdict.Outcome.NOT_RUN:
+            self._counters.refusals.labels(result.reason.value).inc()
+        self._report(request_id, result, work.send)
+        if not self._work:
+            self._idle.set()
+
+    def _on_cancel(self, message: messages.Cancel, send: Send) -> None:
+        request_id = (message.session, message.sequence)
+        if message.boot_id != self.boot_id:
+            return
+        now_ms = self._clock()
+        if self._revoke(request_id, now_ms) is registry.State.REVOKED:
+            reason = verdict.Reason.CANCELLED
+            self._refuse(request_id, reason, False, send)
+            return
+        work = self._work.get(request_id)
+        if work is not None and work.task is not None:
+            work.task.cancel()
+
+    def _on_revoke(self, message: messages.Revoke, send: Send) -> None:
+        request_id = (message.session, message.sequence)
+        if message.boot_id != self.boot_id:
+            reason = verdict.Reason.WRONG_INCARNATION
+            self._refuse(request_id, reason, True, send)
+            return
+        state = self._revoke(request_id, self._clock())
+        self._answer_known(request_id, state, send)
+
+    def _revoke(
+        self, request_id: registry.RequestId, now_ms: float
+    ) -> registry.State:
+        state = self._registry.revoke(request_id, now_ms)
+        if state is registry.State.REVOKED:
+            self._slots.withdraw(request_id)
+            work = self._work.pop(request_id, None)
+            if work is not None and work.holds_key:
+                revoked = verdict.not_run(verdict.Reason.REVOKED)
+                self._keys.settle(work.call.key, revoked, now_ms)
+            if not self._work:
+                self._idle.set()
+        return state
+
+    def _answer_known(
+        self,
+        request_id: registry.RequestId,
+        state: registry.State,
+        send: Send,
+    ) -> None:
+        if state is registry.State.REVOKED:
+            reason = verdict.Reason.REVOKED
+            self._refuse(request_id, reason, False, send)
+        elif state is registry.State.DONE:
+            self._report(request_id, self._registry.result(request_id), send)
+        elif state in (registry.State.STARTED, registry.State.ACCEPTED):
+            self._work[request_id].send = send
+            send(messages.Running(*request_id))
+        else:
+            self._refuse(request_id, verdict.Reason.STALE, True, send)
+
+    def _refuse(
+        self,
+        request_id: registry.RequestId,
+        reason: verdict.Reason,
+        ran: bool,
+        send: Send,
+    ) -> None:
+        self._counters.refusals.labels(reason.value).inc()
+        sample = self.sample(self._clock())
+        send(messages.Failure(*request_id, ran, reason.value, sample))
+
+    def _report(
+        self,
+        request_id: registry.RequestId,
+        result: verdict.Verdict,
+        send: Send,
+    ) -> None:
+        sample = self.sample(self._clock())
+        if result.answer is None:
+            ran = result.outcome is not verdict.Outcome.NOT_RUN
+            reason = result.reason.value
+            send(messages.Failure(*request_id, ran, reason, sample))
+            return
+        answer = result.answer
+        send(
+            messages.Reply(
+                *request_id,
+                answer.status,
+                answer.headers,
+                answer.body,
+                sample,
+            )
+        )
+
+
+def _result_of(task: asyncio.Task[verdict.Verdict]) -> verdict.Verdict:
+    if task.cancelled():
+        return verdict.may_have_run(verdict.Reason.CANCELLED)
+    if task.exception() is not None:
+        return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
+    return task.result()
+
+
+def _call_from(message: messages.Request, now_ms: float) -> requests.Call:
+    return requests.Call(
+        request_id=message.request_id,
+        service=message.service,
+        method=message.method,
+        target=message.target,
+        headers=message.headers,
+        body=message.body,
+        idempotent=message.idempotent,
+        deadline_ms=now_ms + message.time_left_us / 1_000,
+        key=message.key,
+    )
--- /dev/null
+++ b/jasminebeam/verdict.py
@@ -0,0 +1,87 @@
+"""The verdict on a request: whether it may have run, and why."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import requests
+
+
+class Outcome(enum.Enum):
+    """What a caller may conclude about its request."""
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not-run'
+    MAY_HAVE_RUN = 'may-have-run'
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused, retried or left without an answer."""
+
+    NONE = 'none'
+    NO_SERVICE = 'no_service'
+    NO_UPSTREAM = 'no_upstream'
+    NOT_CONNECTED = 'not_connected'
+    WRONG_INCARNATION = 'wrong_incarnation'
+    UNKNOWN_SESSION = 'unknown_session'
+    DUPLICATE = 'duplicate'
+    STALE = 'stale'
+    DRAINING = 'draining'
+    STOPPING = 'stopping'
+    QUEUE_FULL = 'queue_full'
+    WOULD_MISS_DEADLINE = 'would_miss_deadline'
+    DEADLINE = 'deadline'
+    CANCELLED = 'cancelled'
+    REVOKED = 'revoked'
+    CONNECT_FAILED = 'connect_failed'
+    SHED = 'shed'
+    UPSTREAM_DISCONNECTED = 'upstream_disconnected'
+    UPSTREAM_TIMEOUT = 'upstream_timeout'
+    ANSWER_TOO_LARGE = 'answer_too_large'
+    SERVER_ERROR = 'server_error'
+    SILENT_CONNECTION = 'silent_connection'
+    SIDECAR_LOST = 'sidecar_lost'
+    RETRY_BUDGET = 'retry_budget'
+    HEDGE = 'hedge'
+    NOT_READY = 'not_ready'
+    KEY_CONFLICT = 'key_conflict'
+    KEY_BUSY = 'key_busy'
+    KEY_TABLE_FULL = 'key_table_full'
+    KEY_OWNER_UNAVAILABLE = 'key_owner_unavailable'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """The result of one request or of one attempt.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Whether the request was answered, did not run, or may have run.
+    reason : Reason
+        Cause of a missing answer; ``NONE`` for an answer.
+    answer : Answer or None
+        The upstream's answer; present exactly if the outcome is answered.
+    """
+
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    answer: requests.Answer | None = None
+
+
+def answered(answer: requests.Answer) -> Verdict:
+    """Return the verdict on an answered request."""
+    return Verdict(Outcome.ANSWERED, Reason.NONE, answer)
+
+
+def not_run(reason: Reason) -> Verdict:
+    """Return the verdict on a request that provably did not run."""
+    return Verdict(Outcome.NOT_RUN, reason)
+
+
+def may_have_run(reason: Reason) -> Verdict:
+    """Return the verdict on a request whose effect is unknown."""
+    return Verdict(Outcome.MAY_HAVE_RUN, reason)
