Add operators' command line, fleet, traffic and demo

Cause: the path had no operator's tool and nothing drove a whole fleet. Change: jasminebeam-ctl, a fleet of processes with stand-ins, open-loop traffic, and make demo with its report.

--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,229 @@
+"""Demonstration: the Juazeiro fleet under faults, with a report."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import sys
+import time
+import typing
+
+import aiohttp
+from grpclib import client as grpc_client
+from hdrh import histogram
+import tabulate
+import tqdm
+import uvloop
+
+from bench import fleet
+from bench import promises
+from bench import scrape
+from bench import sites
+from bench.standins import store
+from bench.standins import upstream
+from bench import traffic
+from jasminebeam.model import services
+from jasminebeam.operators import convert
+from jasminebeam.operators.generated import operators_grpc
+from jasminebeam.operators.generated import operators_pb2
+
+DURATION_S = 15.0
+FIRST_PORT = 21_000
+OUTPUT = pathlib.Path('build/demo')
+SEED = 7
+LATENCY_REQUESTS = 400
+
+STREAMS = (
+    traffic.Stream('browse', 'catalogo', 'GET', '/sessions', 160.0, True),
+    traffic.Stream('reserve', 'inscricoes', 'POST', '/seats', 40.0, False),
+    traffic.Stream('fee', 'cobranca', 'POST', '/fees', 20.0, False),
+)
+
+
+class Demo:
+    """One run of the demonstration."""
+
+    def __init__(self) -> None:
+        self.fleet = fleet.Fleet(
+            sites.JUAZEIRO,
+            fleet.Options(first_port=FIRST_PORT, directory=OUTPUT, seed=SEED),
+        )
+        self._generator = random.Random(SEED)
+        hosts = self.fleet.hosts
+        self.stopped = hosts[1]
+        self.killed = hosts[7]
+        self.failing = hosts[3]
+        self._entries = list(hosts)
+        self._scraped: dict[str, str] = {}
+
+    async def run(self) -> dict[str, typing.Any]:
+        """Run the fleet, the traffic and the faults; return the report."""
+        await self.fleet.start()
+        await self.fleet.create_services()
+        await self.fleet.wait_members()
+        in_force_ms = await self._measure_change()
+        added = await self._measure_added_latency()
+        faults = asyncio.create_task(self._inject_faults())
+        with tqdm.tqdm(
+            total=DURATION_S,
+            unit='s',
+            bar_format='{l_bar}{bar}| {n:.0f}/{total:.0f} s',
+        ) as bar:
+            recorder = await traffic.run(
+                STREAMS, self._choose, DURATION_S, SEED, 'demo', bar.update
+            )
+        await faults
+        return await self._report(recorder, in_force_ms, added)
+
+    def _choose(self) -> traffic.Entry:
+        host = self._generator.choice(self._entries)
+        return traffic.Entry(host.address, host.caller_port)
+
+    async def _inject_faults(self) -> None:
+        await asyncio.sleep(3)
+        # Callers leave a host before its planned stop, as from any pool.
+        self._entries.remove(self.stopped)
+        await self._scrape(self.stopped)
+        await self.fleet.stop_node(self.stopped)
+        await asyncio.sleep(2)
+        await self._scrape(self.killed)
+        self.fleet.signal_host(self.killed, signal.SIGKILL)
+        self._entries.remove(self.killed)
+        await asyncio.sleep(2)
+        await self.fleet.set_store_faults(store.Faults(down=True))
+        await self.fleet.set_upstream_faults(
+            self.failing, upstream.Faults(fail_fast=True)
+        )
+
+    async def _scrape(self, host: fleet.Host) -> None:
+        self._scraped[host.node_id] = await self.fleet.metrics(host)
+
+    async def _measure_change(self) -> float:
+        """Return the time until a change is in force at all nodes."""
+        host = self.fleet.hosts[0]
+        channel = grpc_client.Channel(host.address, host.operator_port)
+        stub = operators_grpc.OperatorsStub(channel)
+        try:
+            known = await stub.GetService(
+                operators_pb2.GetServiceRequest(name='catalogo')
+            )
+            definition = dataclasses.replace(
+                convert.service_from(known.service), timeout_ms=1_900
+            )
+            started_s = time.perf_counter()
+            await stub.UpdateService(_update(definition, known.revision))
+            while True:
+                answer = await stub.WhereInForce(
+                    operators_pb2.WhereInForceRequest(name='catalogo')
+                )
+                if answer.in_force == len(self.fleet.hosts):
+                    return (time.perf_counter() - started_s) * 1_000
+        finally:
+            channel.close()
+
+    async def _measure_added_latency(self) -> dict[str, float]:
+        """Return the time added to a call, interleaved with direct calls."""
+        host = self.fleet.hosts[0]
+        direct = histogram.HdrHistogram(1, traffic.MAX_LATENCY_US, 3)
+        through = histogram.HdrHistogram(1, traffic.MAX_LATENCY_US, 3)
+        urls = (
+            (f'http://127.0.0.1:{host.upstream_port}/-/load', direct),
+            (f'http://{host.address}:{host.caller_port}/-/load', through),
+        )
+        headers = {'Host': 'catalogo.example'}
+        async with aiohttp.ClientSession() as session:
+            for _ in range(LATENCY_REQUESTS):
+                for url, values in urls:
+                    started_s = time.perf_counter()
+                    async with session.get(url, headers=headers) as response:
+                        await response.read()
+                    taken_us = (time.perf_counter() - started_s) * 1e6
+                    values.record_value(int(taken_us))
+        return {
+            f'added_latency_p{percentile}_ms': (
+                through.get_value_at_percentile(percentile)
+                - direct.get_value_at_percentile(percentile)
+            )
+            / 1_000
+            for percentile in (50, 99)
+        }
+
+    async def _report(
+        self,
+        recorder: traffic.Recorder,
+        in_force_ms: float,
+        added: dict[str, float],
+    ) -> dict[str, typing.Any]:
+        gone = (self.stopped, self.killed)
+        for host in self.fleet.hosts:
+            if host not in gone:
+                await self._scrape(host)
+        texts = list(self._scraped.values())
+        broken = promises.check(
+            recorder.observations,
+            self.fleet.witness.runs,
+            {self.killed.caller_port},
+        )
+        outcomes = recorder.outcomes()
+        requests = len(recorder.observations)
+        probe_bytes = scrape.total(texts, 'jasminebeam_probe_bytes_total')
+        return {
+            'requests': requests,
+            'answered': outcomes['answered'],
+            'not_run': outcomes['not-run'],
+            'may_have_run': outcomes['may-have-run'],
+            'cut_by_kill': outcomes[traffic.CUT],
+            'not_connected': outcomes[traffic.NOT_CONNECTED],
+            **dataclasses.asdict(broken),
+            **added,
+            'measuring_bytes_per_request': probe_bytes / requests,
+            'retries': scrape.sum_by_label(
+                texts, 'jasminebeam_retries_total', 'reason'
+            ),
+            'refusals': scrape.sum_by_label(
+                texts, 'jasminebeam_refusals_total', 'reason'
+            ),
+            'config_in_force_ms': in_force_ms,
+            'generator_lag_p99_ms': recorder.lag_p99_ms(),
+        }
+
+
+def _update(
+    definition: services.Service, revision: int
+) -> operators_pb2.UpdateServiceRequest:
+    return operators_pb2.UpdateServiceRequest(
+        service=convert.service_to(definition),
+        expected_revision=revision,
+        change_id='demo-update',
+    )
+
+
+async def _main() -> int:
+    demo = Demo()
+    print('starting 14 hosts with their upstreams and the store ...')
+    try:
+        report = await demo.run()
+    finally:
+        await demo.fleet.stop()
+    path = OUTPUT / 'report.json'
+    path.write_text(json.dumps(report, indent=2) + '\n')
+    rows = [
+        [name, json.dumps(value) if isinstance(value, dict) else value]
+        for name, value in report.items()
+    ]
+    print(tabulate.tabulate(rows, floatfmt='.3f'))
+    print(f'report written to {path}')
+    kept = all(
+        report[field.name] == 0
+        for field in dataclasses.fields(promises.Broken)
+    )
+    print('all promises kept' if kept else 'PROMISES BROKEN')
+    return 0 if kept else 1
+
+
+if __name__ == '__main__':
+    sys.exit(uvloop.run(_main()))
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,356 @@
+"""Starts a site's nodes and stand-ins as processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import configparser
+import dataclasses
+import pathlib
+import signal
+import sys
+import typing
+
+import aiohttp
+from grpclib import client as grpc_client
+import msgspec
+
+from bench import sites
+from bench.standins import upstream
+from jasminebeam.model import services as model_services
+from jasminebeam.operators import convert
+from jasminebeam.operators.generated import operators_grpc
+from jasminebeam.operators.generated import operators_pb2
+
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Host:
+    """One host: a node, the upstream beside it, and their ports."""
+
+    index: int
+    node_id: str
+    service: str
+    address: str
+    failure_domain: str
+    caller_port: int
+    peer_port: int
+    announce_port: int
+    operator_port: int
+    upstream_port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Options of a fleet.
+
+    Parameters
+    ----------
+    first_port : int
+        Start of the range of ports.
+    directory : pathlib.Path
+        Receives settings and logs.
+    policy : str
+        Routing policy of all nodes.
+    with_store : bool
+        True to start a stand-in store.
+    seed : int
+        Seed of the service times.
+    overrides : dict
+        Settings by section and key that differ from the defaults.
+    """
+
+    first_port: int
+    directory: pathlib.Path
+    policy: str = 'least_cost'
+    with_store: bool = True
+    seed: int = 1
+    overrides: typing.Mapping[str, typing.Mapping[str, str]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+class Witness(asyncio.DatagramProtocol):
+    """Counts the runs that the stand-in upstreams report."""
+
+    def __init__(self) -> None:
+        self.runs: collections.Counter[str] = collections.Counter()
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        """Count one run."""
+        self.runs[data.decode()] += 1
+
+
+class Fleet:
+    """Processes of one site.
+
+    Parameters
+    ----------
+    site : Site
+        The site.
+    options : Options
+        Ports, policy and settings.
+    """
+
+    def __init__(self, site: sites.Site, options: Options) -> None:
+        self.site = site
+        self.options = options
+        self.hosts = _hosts(site, options.first_port)
+        self.store_port = options.first_port
+        self.witness = Witness()
+        self._witness_port = options.first_port + 1
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._logs: list[typing.IO[bytes]] = []
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        """Start all processes and create the services."""
+        self.options.directory.mkdir(parents=True, exist_ok=True)
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self.witness,
+            local_addr=('127.0.0.1', self._witness_port),
+        )
+        if self.options.with_store:
+            await self._spawn_stand_in('store', 'store', str(self.store_port))
+        for host in self.hosts:
+            await self.start_host(host)
+        await asyncio.gather(*(self._wait_ready(host) for host in self.hosts))
+
+    async def start_host(self, host: Host) -> None:
+        """Start the node and the upstream of a host."""
+        await self._start_node(host)
+        await self._start_upstream(host)
+
+    async def create_services(
+        self, changes: typing.Mapping[str, typing.Any] | None = None
+    ) -> None:
+        """Create the site's services and wait until all nodes know them."""
+        host = self.hosts[0]
+        channel = grpc_client.Channel(host.address, host.operator_port)
+        stub = operators_grpc.OperatorsStub(channel)
+        try:
+            for service in self.site.services:
+                definition = model_services.Service(
+                    name=service.name,
+                    hosts=(f'{service.name}.example',),
+                    idempotent=service.idempotent,
+                    **(changes or {}),
+                )
+                await stub.CreateService(
+                    operators_pb2.CreateServiceRequest(
+                        service=convert.service_to(definition),
+                        change_id=f'create-{service.name}',
+                    )
+                )
+            for service in self.site.services:
+                await self.wait_in_force(stub, service.name)
+        finally:
+            channel.close()
+
+    async def wait_in_force(
+        self, stub: operators_grpc.OperatorsStub, name: str
+    ) -> None:
+        """Return when a service's revision is in force at all hosts."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                answer = await stub.WhereInForce(
+                    operators_pb2.WhereInForceRequest(name=name)
+                )
+                if answer.in_force == len(self.hosts):
+                    return
+                await asyncio.sleep(0.2)
+
+    async def wait_members(self) -> None:
+        """Return when each node knows each upstream as ready."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for host in self.hosts:
+                while await self._ready_upstreams(host) < len(self.hosts):
+                    await asyncio.sleep(0.2)
+
+    async def set_upstream_faults(
+        self, host: Host, faults: upstream.Faults
+    ) -> None:
+        """Change the faults of a stand-in upstream."""
+        url = f'http://127.0.0.1:{host.upstream_port}/-/faults'
+        await _post(url, msgspec.json.encode(faults))
+
+    async def set_store_faults(self, faults: typing.Any) -> None:
+        """Change the faults of the stand-in store."""
+        url = f'http://127.0.0.1:{self.store_port}/-/faults'
+        await _post(url, msgspec.json.encode(faults))
+
+    async def drain(self, host: Host) -> None:
+        """Announce to the node that its upstream drains."""
+        await _post(f'http://127.0.0.1:{host.announce_port}/drain', b'')
+
+    async def metrics(self, host: Host) -> str:
+        """Return a node's metrics as text."""
+        url = f'http://127.0.0.1:{host.announce_port}/metrics'
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as response:
+                return await response.text()
+
+    async def stop_node(self, host: Host) -> int:
+        """Stop a node as planned and return its exit status."""
+        process = self._processes[f'node-{host.node_id}']
+        process.terminate()
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await process.wait()
+
+    def signal_host(self, host: Host, number: signal.Signals) -> None:
+        """Send a signal to a host's node and upstream."""
+        for kind in ('node', 'upstream'):
+            self._signal(f'{kind}-{host.node_id}', number)
+
+    def process_id(self, host: Host) -> int:
+        """Return the process id of a node."""
+        return self._processes[f'node-{host.node_id}'].pid
+
+    async def stop(self) -> None:
+        """End all processes."""
+        for number in (signal.SIGCONT, signal.SIGKILL):
+            for name in self._processes:
+                self._signal(name, number)
+        for process in self._processes.values():
+            await process.wait()
+        for log in self._logs:
+            log.close()
+        self._transport.close()
+
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        process = self._processes.get(name)
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
+
+    async def _start_node(self, host: Host) -> None:
+        path = self.options.directory / f'{host.node_id}.ini'
+        with path.open('w') as file:
+            self._settings(host).write(file)
+        program = pathlib.Path(sys.executable).parent / 'jasminebeam-node'
+        await self._spawn(
+            f'node-{host.node_id}', str(program), f'--settings={path}'
+        )
+
+    async def _start_upstream(self, host: Host) -> None:
+        service = next(
+            service
+            for service in self.site.services
+            if service.name == host.service
+        )
+        url = f'http://127.0.0.1:{host.announce_port}/announce'
+        options = upstream.Options(
+            service=host.service,
+            port=host.upstream_port,
+            slots=self.site.slots,
+            announce_url=url,
+            service_ms=service.service_ms,
+            seed=self.options.seed * 1_000 + host.index,
+            witness_port=self._witness_port,
+        )
+        await self._spawn_stand_in(
+            f'upstream-{host.node_id}',
+            'upstream',
+            msgspec.json.encode(options).decode(),
+        )
+
+    async def _spawn_stand_in(self, name: str, *arguments: str) -> None:
+        await self._spawn(
+            name, sys.executable, '-m', 'bench.standins.run', *arguments
+        )
+
+    async def _spawn(self, name: str, *command: str) -> None:
+        log = (self.options.directory / f'{name}.log').open('wb')
+        self._logs.append(log)
+        self._processes[name] = await asyncio.create_subprocess_exec(
+            *command, stdout=log, stderr=log
+        )
+
+    def _settings(self, host: Host) -> configparser.ConfigParser:
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(
+            {
+                'node': {
+                    'node_id': host.node_id,
+                    'host': host.address,
+                    'failure_domain': host.failure_domain,
+                    'region': self.site.region,
+                },
+                'callers': {'port': str(host.caller_port)},
+                'peering': {
+                    'port': str(host.peer_port),
+                    'seeds': self._seeds(),
+                },
+                'upstream': {'announce_port': str(host.announce_port)},
+                'operators': {'port': str(host.operator_port)},
+                'platform': {},
+                'routing': {'policy': self.options.policy},
+                'telemetry': {'log_format': 'json'},
+            }
+        )
+        if self.options.with_store:
+            endpoint = f'http://127.0.0.1:{self.store_port}'
+            parser['platform']['endpoint'] = endpoint
+        for section, values in self.options.overrides.items():
+            parser[section].update(values)
+        return parser
+
+    def _seeds(self) -> str:
+        return ' '.join(
+            f'{host.address}:{host.peer_port}' for host in self.hosts[:3]
+        )
+
+    async def _wait_ready(self, host: Host) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                try:
+                    if await self._ready_upstreams(host) >= 1:
+                        return
+                except (OSError, aiohttp.ClientError):
+                    pass
+                await asyncio.sleep(0.1)
+
+    async def _ready_upstreams(self, host: Host) -> int:
+        channel = grpc_client.Channel(host.address, host.operator_port)
+        stub = operators_grpc.OperatorsStub(channel)
+        try:
+            answer = await stub.ListUpstreams(
+                operators_pb2.ListUpstreamsRequest()
+            )
+        finally:
+            channel.close()
+        return sum(found.phase == 'ready' for found in answer.upstreams)
+
+
+def _hosts(site: sites.Site, first_port: int) -> list[Host]:
+    names = [
+        service.name
+        for service in site.services
+        for _ in range(service.targets)
+    ]
+    hosts = []
+    for index, name in enumerate(names):
+        port = first_port + 10 + index * 10
+        domain = site.failure_domains[index % len(site.failure_domains)]
+        host = Host(
+            index=index,
+            node_id=f'{site.name}-{index}',
+            service=name,
+            address=f'127.0.1.{index + 1}',
+            failure_domain=domain,
+            caller_port=port,
+            peer_port=port + 1,
+            announce_port=port + 2,
+            operator_port=port + 3,
+            upstream_port=port + 4,
+        )
+        hosts.append(host)
+    return hosts
+
+
+async def _post(url: str, body: bytes) -> None:
+    async with aiohttp.ClientSession() as session:
+        async with session.post(url, data=body) as response:
+            response.raise_for_status()
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import random
+import socket
 
 import aiohttp
 from aiohttp import web
@@ -32,6 +33,9 @@
         Age of the load report.
     seed : int
         Seed of the service times.
+    witness_port : int
+        Loopback UDP port that is told the id of each request as it runs;
+        0 for none.
     """
 
     service: str
@@ -43,6 +47,7 @@
     sigma: float = 0.5
     report_lag_ms: float = 1_000.0
     seed: int = 1
+    witness_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +95,7 @@
         self._started_ms = clock.monotonic_ms()
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled = 0
+        self._witness = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         server = web.Server(
             self._handle, handler_cancellation=True, access_log=None
         )
@@ -130,6 +136,7 @@
     async def stop(self) -> None:
         """Stop listening."""
         await self._runner.cleanup()
+        self._witness.close()
 
     def set_faults(self, faults: Faults) -> None:
         """Change the faults in force."""
@@ -143,7 +150,7 @@
             return web.Response(status=SHED_STATUS, headers={SHED_HEADER: '1'})
         request_id = request.headers.get('X-Request-Id', '')
         if self._faults.fail_fast:
-            self.runs[request_id] += 1
+            self._count_run(request_id)
             return web.Response(status=500, text='failing fast')
         return await self._serve(request, request_id, body)
 
@@ -153,7 +160,7 @@
         self._change_active(1)
         try:
             async with self._free_slots:
-                self.runs[request_id] += 1
+                self._count_run(request_id)
                 await asyncio.sleep(self._service_s())
         except asyncio.CancelledError:
             self.cancelled += 1
@@ -165,6 +172,12 @@
         headers = {'X-Served-Id': request_id}
         return web.Response(body=body or request_id.encode(), headers=headers)
 
+    def _count_run(self, request_id: str) -> None:
+        self.runs[request_id] += 1
+        if self._options.witness_port:
+            address = ('127.0.0.1', self._options.witness_port)
+            self._witness.sendto(request_id.encode(), address)
+
     async def _control(self, request: web.BaseRequest) -> web.Response:
         if request.path == '/-/load':
             return web.Response(text=str(self._reported()))
--- /dev/null
+++ b/jasminebeam/cmd/ctl.py
@@ -0,0 +1,302 @@
+"""Operators' command line: drives a node's remote procedure calls."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import ssl
+import sys
+import typing
+import uuid
+
+from absl import app
+from absl import flags
+from google.protobuf import json_format
+import grpclib
+from grpclib import client as grpc_client
+from grpclib import const
+import tabulate
+
+from jasminebeam.operators.generated import operators_grpc
+from jasminebeam.operators.generated import operators_pb2
+
+_ADDRESS = flags.DEFINE_string(
+    'address', '127.0.0.1:7003', 'host:port of the node to call.'
+)
+_JSON = flags.DEFINE_bool('json', False, 'Print JSON instead of tables.')
+_TIMEOUT_MS = flags.DEFINE_integer(
+    'timeout_ms', 30_000, 'Longest time of a call in ms.', lower_bound=1
+)
+_CHANGE_ID = flags.DEFINE_string(
+    'change_id',
+    '',
+    'Identifier of the change; repeat it to repeat a change safely.',
+)
+_REVISION = flags.DEFINE_integer(
+    'revision', 0, 'Revision that an update or deletion is based on.'
+)
+_TLS_CA = flags.DEFINE_string('tls_ca', '', 'PEM file of the server CA.')
+_TLS_CERTIFICATE = flags.DEFINE_string(
+    'tls_certificate', '', 'PEM file of the client certificate.'
+)
+_TLS_KEY = flags.DEFINE_string('tls_key', '', 'PEM file of the client key.')
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_NOT_FOUND = 5
+
+_EXIT_BY_STATUS = {
+    const.Status.INVALID_ARGUMENT: EXIT_INVALID,
+    const.Status.FAILED_PRECONDITION: EXIT_INVALID,
+    const.Status.ABORTED: EXIT_CONFLICT,
+    const.Status.UNAVAILABLE: EXIT_UNAVAILABLE,
+    const.Status.DEADLINE_EXCEEDED: EXIT_UNAVAILABLE,
+    const.Status.NOT_FOUND: EXIT_NOT_FOUND,
+}
+
+Stub = operators_grpc.OperatorsStub
+Runner = typing.Callable[[Stub, list[str]], typing.Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """One command: its arguments as shown, and what runs it."""
+
+    usage: str
+    summary: str
+    argument_count: int
+    run: Runner
+
+
+class UsageError(Exception):
+    """A mistake on the command line or in a file."""
+
+
+def _change_id() -> str:
+    return _CHANGE_ID.value or uuid.uuid4().hex
+
+
+def _read_service(path: str) -> operators_pb2.Service:
+    try:
+        text = pathlib.Path(path).read_text()
+        return json_format.Parse(text, operators_pb2.Service())
+    except OSError as error:
+        raise UsageError(f'{path}: {error.strerror}') from error
+    except json_format.ParseError as error:
+        raise UsageError(f'{path}: {error}') from error
+
+
+async def _create(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.CreateServiceRequest(
+        service=_read_service(arguments[0]), change_id=_change_id()
+    )
+    _print_revisions([await stub.CreateService(request)])
+
+
+async def _update(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.UpdateServiceRequest(
+        service=_read_service(arguments[0]),
+        expected_revision=_REVISION.value,
+        change_id=_change_id(),
+    )
+    _print_revisions([await stub.UpdateService(request)])
+
+
+async def _delete(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.DeleteServiceRequest(
+        name=arguments[0],
+        expected_revision=_REVISION.value,
+        change_id=_change_id(),
+    )
+    _print_revisions([await stub.DeleteService(request)])
+
+
+async def _get(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.GetServiceRequest(name=arguments[0])
+    print(_to_json(await stub.GetService(request)))
+
+
+async def _list(stub: Stub, arguments: list[str]) -> None:
+    answer = await stub.ListServices(operators_pb2.ListServicesRequest())
+    _print_revisions(answer.services)
+
+
+async def _upstreams(stub: Stub, arguments: list[str]) -> None:
+    service = arguments[0] if arguments else ''
+    request = operators_pb2.ListUpstreamsRequest(service=service)
+    answer = await stub.ListUpstreams(request)
+    fields = (
+        'service',
+        'node_id',
+        'address',
+        'failure_domain',
+        'status',
+        'phase',
+        'slots',
+        'in_flight',
+        'queued',
+        'sample_age_ms',
+        'ejected',
+    )
+    _print_rows(answer.upstreams, fields)
+
+
+async def _where(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.WhereInForceRequest(
+        name=arguments[0], revision=_REVISION.value
+    )
+    answer = await stub.WhereInForce(request)
+    _print_rows([answer], ('revision', 'in_force', 'behind', 'silent'))
+
+
+async def _drain(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.DrainUpstreamRequest(node_id=arguments[0])
+    answer = await stub.DrainUpstream(request)
+    _print_rows([answer], ('in_flight',))
+
+
+async def _events(stub: Stub, arguments: list[str]) -> None:
+    async with stub.WatchEvents.open() as stream:
+        request = operators_pb2.WatchEventsRequest()
+        await stream.send_message(request, end=True)
+        async for event in stream:
+            print(
+                event.time_ms,
+                event.number,
+                event.text,
+                event.fields_json,
+                flush=True,
+            )
+
+
+COMMANDS = {
+    'create': Command('create FILE', 'Create a service.', 1, _create),
+    'update': Command(
+        'update FILE --revision=N', 'Replace a service.', 1, _update
+    ),
+    'delete': Command(
+        'delete NAME --revision=N', 'Delete a service.', 1, _delete
+    ),
+    'get': Command('get NAME', 'Print one service.', 1, _get),
+    'list': Command('list', 'List the services.', 0, _list),
+    'upstreams': Command(
+        'upstreams [SERVICE]', 'List the upstreams.', -1, _upstreams
+    ),
+    'where': Command(
+        'where NAME', 'Show where a revision is in force.', 1, _where
+    ),
+    'drain': Command(
+        'drain NODE', 'Drain the upstream beside a node.', 1, _drain
+    ),
+    'events': Command('events', 'Print events as they happen.', 0, _events),
+}
+
+
+def _to_json(message: typing.Any) -> str:
+    return json_format.MessageToJson(
+        message,
+        preserving_proto_field_name=True,
+        always_print_fields_with_no_presence=True,
+    )
+
+
+def _print_revisions(
+    revisions: typing.Iterable[operators_pb2.ServiceRevision],
+) -> None:
+    _print_rows(list(revisions), ('name', 'revision', 'change_id'))
+
+
+def _print_rows(
+    messages: typing.Sequence[typing.Any], fields: tuple[str, ...]
+) -> None:
+    if _JSON.value:
+        documents = [json.loads(_to_json(message)) for message in messages]
+        print(json.dumps(documents, indent=2))
+        return
+    rows = [
+        [_cell(getattr(message, field)) for field in fields]
+        for message in messages
+    ]
+    print(tabulate.tabulate(rows, headers=fields))
+
+
+def _cell(value: typing.Any) -> typing.Any:
+    if isinstance(value, bool | int | str):
+        return value
+    return ' '.join(value)
+
+
+def _tls() -> ssl.SSLContext | None:
+    if not _TLS_CA.value:
+        return None
+    context = ssl.create_default_context(cafile=_TLS_CA.value)
+    context.set_alpn_protocols(['h2'])
+    if _TLS_CERTIFICATE.value:
+        context.load_cert_chain(_TLS_CERTIFICATE.value, _TLS_KEY.value)
+    return context
+
+
+def _usage() -> str:
+    rows = [[command.usage, command.summary] for command in COMMANDS.values()]
+    table = tabulate.tabulate(rows, tablefmt='plain')
+    return f'usage: jasminebeam-ctl [flags] COMMAND\n{table}'
+
+
+def _parse(arguments: list[str]) -> tuple[Command, list[str]]:
+    if not arguments or arguments[0] not in COMMANDS:
+        raise UsageError(_usage())
+    command = COMMANDS[arguments[0]]
+    given = arguments[1:]
+    if command.argument_count >= 0 and len(given) != command.argument_count:
+        raise UsageError(f'usage: jasminebeam-ctl {command.usage}')
+    return command, given
+
+
+async def _call(command: Command, arguments: list[str]) -> None:
+    host, _, port = _ADDRESS.value.rpartition(':')
+    if not port.isdigit():
+        raise UsageError(f'--address: {_ADDRESS.value!r} is not host:port')
+    channel = grpc_client.Channel(host, int(port), ssl=_tls())
+    timeout_s = _TIMEOUT_MS.value / 1_000
+    if command.run is _events:
+        timeout_s = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            await command.run(Stub(channel), arguments)
+    finally:
+        channel.close()
+
+
+def main(arguments: typing.Sequence[str]) -> int:
+    """Run one command.
+
+    Returns
+    -------
+    int
+        Exit status: 0, or 2 invalid, 3 conflict, 4 unavailable, 5 not
+        found, 1 for other failures.
+    """
+    try:
+        command, given = _parse(list(arguments[1:]))
+        asyncio.run(_call(command, given))
+    except UsageError as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
+    except grpclib.GRPCError as error:
+        print(f'{error.status.name}: {error.message}', file=sys.stderr)
+        return _EXIT_BY_STATUS.get(error.status, EXIT_FAILED)
+    except (OSError, TimeoutError, grpclib.exceptions.StreamTerminatedError):
+        print(f'{_ADDRESS.value}: no answer', file=sys.stderr)
+        return EXIT_UNAVAILABLE
+    except KeyboardInterrupt:
+        return 0
+    return 0
+
+
+def run() -> None:
+    """Entry point of ``jasminebeam-ctl``."""
+    app.run(main)
--- a/jasminebeam/cmd/node.py
+++ b/jasminebeam/cmd/node.py
@@ -28,27 +28,27 @@
 
 
 class NodeService(aiomisc.Service):
-    """Starts and stops a node with the entry point."""
+    """Runs a node as a service of the entry point."""
 
     node: node.Node
 
     async def start(self) -> None:
-        """Start the node and stop the loop on a signal."""
-        loop = asyncio.get_running_loop()
+        """Start the node."""
         await self.node.start()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._request_stop)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the node gracefully."""
         await self.node.stop()
 
-    def _request_stop(self) -> None:
-        self._stopping = asyncio.ensure_future(self._stop_loop())
 
-    async def _stop_loop(self) -> None:
-        await self.node.stop()
-        asyncio.get_running_loop().stop()
+async def _run_until_signal(service: NodeService) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    # The entry point would cancel requests before it stops its services.
+    await service.stop()
 
 
 def main(arguments: typing.Sequence[str]) -> int:
@@ -70,7 +70,13 @@
     telemetry = checked.telemetry
     handler = events.open_handler(telemetry.log_format, telemetry.log_level)
     with handler.applicationbound():
-        aiomisc.run(NodeService(node=node.Node(checked)), log_config=False)
+        service = NodeService(node=node.Node(checked))
+        aiomisc.run(
+            _run_until_signal(service),
+            service,
+            log_config=False,
+            catch_signals=(),
+        )
     return 0
 
 
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -193,9 +193,11 @@
 
     def _first_record(self) -> upstreams.Member:
         place = self._settings.node
+        peering = self._settings.peering
+        address = f'{place.host}:{peering.port}'
         return upstreams.Member(
             node_id=place.node_id,
-            address=f'{place.host}:{self._settings.peering.port}',
+            address=peering.advertise_address or address,
             failure_domain=place.failure_domain,
             region=place.region,
             incarnation=clock.wall_ms(),
@@ -217,7 +219,9 @@
             self.log,
             self.metrics,
         )
-        self._factory = pool.LinkFactory(self._context, self._hello, keys)
+        self._factory = pool.LinkFactory(
+            self._context, self._settings.node.host, self._hello, keys
+        )
         self._control = control.ControlLinks(
             self._factory.open_control,
             peering.control_bytes_per_s,
--- a/jasminebeam/peering/links.py
+++ b/jasminebeam/peering/links.py
@@ -41,6 +41,8 @@
     ----------
     context : zmq.Context
         Creates the socket.
+    endpoint : str
+        ``source_host:0;host:port`` of the connection.
     address : str
         ``host:port`` of the peer socket.
     hello : Hello or None
@@ -57,6 +59,7 @@
     def __init__(
         self,
         context: zmq.Context,
+        endpoint: str,
         address: str,
         hello: messages.Hello | None,
         keys: security.ClientKeys | None,
@@ -76,7 +79,7 @@
             keys.apply(socket)
         self._monitor = sockets.ConnectionMonitor(socket, self._on_closed)
         self._polled = sockets.PolledSocket(socket, self._on_frames)
-        socket.connect(f'tcp://{address}')
+        socket.connect(f'tcp://{endpoint}')
         if hello is not None:
             self.send(hello)
 
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -28,6 +28,8 @@
     ----------
     context : zmq.Context
         Creates the sockets.
+    host : str
+        IP address that connections come from.
     hello : Hello
         Names this node.
     keys : ClientKeys or None
@@ -37,10 +39,12 @@
     def __init__(
         self,
         context: zmq.Context,
+        host: str,
         hello: messages.Hello,
         keys: security.ClientKeys | None,
     ) -> None:
         self._context = context
+        self._host = host
         self.hello = hello
         self._keys = keys
 
@@ -53,6 +57,7 @@
         """Return a connection for requests, with a session."""
         return links.Link(
             self._context,
+            f'{self._host}:0;{address}',
             address,
             self.hello,
             self._keys,
@@ -68,7 +73,13 @@
     ) -> links.Link:
         """Return a connection for control messages."""
         return links.Link(
-            self._context, address, None, self._keys, on_message, on_lost
+            self._context,
+            f'{self._host}:0;{address}',
+            address,
+            None,
+            self._keys,
+            on_message,
+            on_lost,
         )
 
 
--- a/jasminebeam/settings.py
+++ b/jasminebeam/settings.py
@@ -68,6 +68,9 @@
     ----------
     port : int
         Port of the peer socket.
+    advertise_address : str
+        ``host:port`` that peers connect to; the host and port above if
+        it is empty.
     seeds : str
         Peer addresses (``host:port``), separated by spaces, that serve
         when the store does not answer.
@@ -83,6 +86,7 @@
     """
 
     port: Port
+    advertise_address: str = ''
     seeds: str = ''
     tick_ms: typing.Annotated[int, msgspec.Meta(ge=10, le=10_000)] = 100
     control_bytes_per_s: typing.Annotated[
