Add scenarios of the promises on in-memory connections

Cause: the promises had no test that causes the failures. Links now take a transport, so that the tests run the same code as the nodes.

--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -23,7 +23,7 @@
 
 MAX_KEY_CHARS = 200
 MAX_REQUEST_ID_CHARS = 200
-DRAIN_GRACE_S = 0.5
+DRAIN_GRACE_S = 1.0
 
 _STATUS = {
     verdict.Outcome.NOT_RUN: 503,
@@ -120,9 +120,9 @@
         Kept-alive connections are told to close with their next answer.
         """
         self._stopping = True
+        await asyncio.sleep(DRAIN_GRACE_S)
         for site in list(self._runner.sites):
             await site.stop()
-        await asyncio.sleep(DRAIN_GRACE_S)
         while self._open:
             await asyncio.sleep(0.01)
         await self._runner.cleanup()
--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -21,6 +21,7 @@
 SHORT_MEMBER_BYTES = 60
 REVISION_BYTES = 700
 SYNC_CHUNK = 200
+SMALL_FLEET = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -272,12 +273,18 @@
             self._equal_round = self._round
             return
         rounds = self._round - self._equal_round
-        if sender is None or rounds < self._options.sync_rounds:
+        if sender is None or rounds < self._sync_rounds():
             return
         self._equal_round = self._round
         request = self._sync_request(with_config=not same_config)
         effects.outgoing.append(Outgoing(sender.address, request))
 
+    def _sync_rounds(self) -> int:
+        # Whole tables of small fleets cost little to compare.
+        if len(self.members) < SMALL_FLEET:
+            return 1
+        return self._options.sync_rounds
+
     def _on_indirect_probe(
         self, message: messages.IndirectProbe, effects: Effects
     ) -> None:
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -26,6 +26,7 @@
 from jasminebeam.peering import pool
 from jasminebeam.peering import security
 from jasminebeam.peering import server as peer_server
+from jasminebeam.peering import sockets
 from jasminebeam.platform import etcd
 from jasminebeam.platform import none
 from jasminebeam.routing import policies
@@ -219,9 +220,10 @@
             self.log,
             self.metrics,
         )
-        self._factory = pool.LinkFactory(
-            self._context, self._settings.node.host, self._hello, keys
+        transport = sockets.ZmqTransport(
+            self._context, self._settings.node.host, keys
         )
+        self._factory = pool.LinkFactory(transport, self._hello)
         self._control = control.ControlLinks(
             self._factory.open_control,
             peering.control_bytes_per_s,
--- a/jasminebeam/peering/links.py
+++ b/jasminebeam/peering/links.py
@@ -8,12 +8,8 @@
 
 from jasminebeam.peering import codec
 from jasminebeam.peering import messages
-from jasminebeam.peering import sockets
 
 if typing.TYPE_CHECKING:
-    import zmq
-
-    from jasminebeam.peering import security
     from jasminebeam.upstreams import sidecar as sidecar_module
 
 SILENT_TICKS = 4
@@ -34,22 +30,40 @@
     reason: str
 
 
+class Wire(typing.Protocol):
+    """One connection that carries whole frames."""
+
+    def send(self, frame: bytes) -> bool:
+        """Send a frame; False if it cannot be sent."""
+
+    def close(self) -> None:
+        """Close the connection and drop unsent frames."""
+
+
+class Transport(typing.Protocol):
+    """Opens connections to peers."""
+
+    def open(
+        self,
+        address: str,
+        on_frame: typing.Callable[[bytes], None],
+        on_closed: typing.Callable[[], None],
+    ) -> Wire:
+        """Return a new connection to ``host:port``."""
+
+
 class Link:
     """One connection to one sidecar, never reused after a loss.
 
     Parameters
     ----------
-    context : zmq.Context
-        Creates the socket.
-    endpoint : str
-        ``source_host:0;host:port`` of the connection.
+    transport : Transport
+        Opens the connection.
     address : str
         ``host:port`` of the peer socket.
     hello : Hello or None
         Sent first; the sidecar answers with a session. Connections for
         control messages need none.
-    keys : ClientKeys or None
-        CURVE keys, if the fleet uses them.
     on_message : callable
         Receives the link, each message, and the size of its frame.
     on_lost : callable
@@ -58,11 +72,9 @@
 
     def __init__(
         self,
-        context: zmq.Context,
-        endpoint: str,
+        transport: Transport,
         address: str,
         hello: messages.Hello | None,
-        keys: security.ClientKeys | None,
         on_message: typing.Callable[[Link, messages.Message, int], None],
         on_lost: typing.Callable[[Link, Lost], None],
     ) -> None:
@@ -74,12 +86,7 @@
         self._unanswered_ticks = 0
         self._on_message = on_message
         self._on_lost = on_lost
-        socket = sockets.create_dealer(context)
-        if keys is not None:
-            keys.apply(socket)
-        self._monitor = sockets.ConnectionMonitor(socket, self._on_closed)
-        self._polled = sockets.PolledSocket(socket, self._on_frames)
-        socket.connect(f'tcp://{endpoint}')
+        self._wire = transport.open(address, self._on_frame, self._on_closed)
         if hello is not None:
             self.send(hello)
 
@@ -91,7 +98,7 @@
     def send(self, message: messages.Message) -> int:
         """Send a message and return the frame's bytes; 0 if it failed."""
         frame = codec.encode(message)
-        if not self._polled.send([frame]):
+        if not self._wire.send(frame):
             return 0
         return len(frame)
 
@@ -116,15 +123,14 @@
     def close(self) -> None:
         """Close the connection without a report."""
         self.state = LinkState.LOST
-        self._monitor.close()
-        self._polled.close()
+        self._wire.close()
 
     def _on_closed(self) -> None:
         self.lose('closed' if self.state is LinkState.READY else 'refused')
 
-    def _on_frames(self, frames: list[bytes]) -> None:
+    def _on_frame(self, frame: bytes) -> None:
         self._unanswered_ticks = 0
-        message = codec.decode(frames[-1]).value_or(None)
+        message = codec.decode(frame).value_or(None)
         if message is None:
             self.lose('malformed')
             return
@@ -132,7 +138,7 @@
             self.boot_id = message.boot_id
             self.session = message.session
             self.state = LinkState.READY
-        self._on_message(self, message, len(frames[-1]))
+        self._on_message(self, message, len(frame))
 
 
 class LocalLink:
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -9,9 +9,6 @@
 from jasminebeam.peering import peers
 
 if typing.TYPE_CHECKING:
-    import zmq
-
-    from jasminebeam.peering import security
     from jasminebeam.routing import table
     from jasminebeam.telemetry import events
     from jasminebeam.telemetry import metrics
@@ -26,27 +23,17 @@
 
     Parameters
     ----------
-    context : zmq.Context
-        Creates the sockets.
-    host : str
-        IP address that connections come from.
+    transport : Transport
+        Opens the connections.
     hello : Hello
         Names this node.
-    keys : ClientKeys or None
-        CURVE keys, if the fleet uses them.
     """
 
     def __init__(
-        self,
-        context: zmq.Context,
-        host: str,
-        hello: messages.Hello,
-        keys: security.ClientKeys | None,
+        self, transport: links.Transport, hello: messages.Hello
     ) -> None:
-        self._context = context
-        self._host = host
+        self._transport = transport
         self.hello = hello
-        self._keys = keys
 
     def open_data(
         self,
@@ -56,13 +43,7 @@
     ) -> links.Link:
         """Return a connection for requests, with a session."""
         return links.Link(
-            self._context,
-            f'{self._host}:0;{address}',
-            address,
-            self.hello,
-            self._keys,
-            on_message,
-            on_lost,
+            self._transport, address, self.hello, on_message, on_lost
         )
 
     def open_control(
@@ -72,15 +53,7 @@
         on_lost: typing.Callable[..., None],
     ) -> links.Link:
         """Return a connection for control messages."""
-        return links.Link(
-            self._context,
-            f'{self._host}:0;{address}',
-            address,
-            None,
-            self._keys,
-            on_message,
-            on_lost,
-        )
+        return links.Link(self._transport, address, None, on_message, on_lost)
 
 
 class PeerPool:
--- a/jasminebeam/peering/sockets.py
+++ b/jasminebeam/peering/sockets.py
@@ -8,6 +8,9 @@
 import zmq
 from zmq.utils import monitor
 
+if typing.TYPE_CHECKING:
+    from jasminebeam.peering import security
+
 HIGH_WATER_MARK = 1_000
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 CONNECT_TIMEOUT_MS = 1_000
@@ -79,6 +82,83 @@
         self._schedule()
 
 
+class ZmqWire:
+    """One connection that carries whole frames.
+
+    Parameters
+    ----------
+    socket : zmq.Socket
+        DEALER socket that is not yet connected.
+    endpoint : str
+        ZeroMQ endpoint to connect to.
+    on_frame : callable
+        Receives each frame.
+    on_closed : callable
+        Called when the connection is refused or lost.
+    """
+
+    def __init__(
+        self,
+        socket: zmq.Socket,
+        endpoint: str,
+        on_frame: typing.Callable[[bytes], None],
+        on_closed: typing.Callable[[], None],
+    ) -> None:
+        self._on_frame = on_frame
+        self._monitor = ConnectionMonitor(socket, on_closed)
+        self._polled = PolledSocket(socket, self._on_frames)
+        socket.connect(endpoint)
+
+    def send(self, frame: bytes) -> bool:
+        """Send a frame; False if it cannot be sent."""
+        return self._polled.send([frame])
+
+    def close(self) -> None:
+        """Close the connection and drop unsent frames."""
+        self._monitor.close()
+        self._polled.close()
+
+    def _on_frames(self, frames: list[bytes]) -> None:
+        self._on_frame(frames[-1])
+
+
+class ZmqTransport:
+    """Opens connections to peers over TCP.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Creates the sockets.
+    host : str
+        IP address that connections come from.
+    keys : ClientKeys or None
+        CURVE keys, if the fleet uses them.
+    """
+
+    def __init__(
+        self,
+        context: zmq.Context,
+        host: str,
+        keys: security.ClientKeys | None,
+    ) -> None:
+        self._context = context
+        self._host = host
+        self._keys = keys
+
+    def open(
+        self,
+        address: str,
+        on_frame: typing.Callable[[bytes], None],
+        on_closed: typing.Callable[[], None],
+    ) -> ZmqWire:
+        """Return a new connection to ``host:port``."""
+        socket = create_dealer(self._context)
+        if self._keys is not None:
+            self._keys.apply(socket)
+        endpoint = f'tcp://{self._host}:0;{address}'
+        return ZmqWire(socket, endpoint, on_frame, on_closed)
+
+
 class ConnectionMonitor:
     """Reports when the connection of a socket is lost or refused."""
 
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,35 @@
+"""Event loop whose time passes only while nothing is left to do."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import typing
+
+
+class _VirtualSelector(selectors.DefaultSelector):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 1_000.0
+
+    def select(self, timeout: float | None = None) -> list[typing.Any]:
+        if timeout is None:
+            raise RuntimeError('nothing is left to happen: deadlock')
+        self.now_s += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs tasks without input or output, in virtual time."""
+
+    def __init__(self) -> None:
+        self._virtual = _VirtualSelector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._virtual.now_s
+
+    def now_ms(self) -> float:
+        """Return the virtual time in milliseconds."""
+        return self._virtual.now_s * 1_000
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,351 @@
+"""In-memory nodes, connections and upstreams for deterministic tests."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import random
+import typing
+
+from jasminebeam.callers import dispatcher
+from jasminebeam.model import requests
+from jasminebeam.model import services
+from jasminebeam.model import upstreams
+from jasminebeam.peering import codec
+from jasminebeam.peering import messages
+from jasminebeam.peering import pool
+from jasminebeam.routing import policies
+from jasminebeam.routing import selection
+from jasminebeam.routing import table
+from jasminebeam.telemetry import events
+from jasminebeam.telemetry import metrics
+from jasminebeam.upstreams import sidecar
+from jasminebeam import verdict
+from tests import virtual
+
+ONE_WAY_S = 0.001
+TICK_S = 0.1
+
+
+class FakeUpstream:
+    """Upstream whose answers the test controls; it counts each run."""
+
+    def __init__(self) -> None:
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.service_s = 0.005
+        self.behaviour = 'answer'
+        self.blocked: asyncio.Event | None = None
+        self.cancelled = 0
+
+    async def run(
+        self, call: requests.Call, timeout_ms: float
+    ) -> verdict.Verdict:
+        """Run a request as the behaviour says."""
+        if self.behaviour == 'refuse':
+            return verdict.not_run(verdict.Reason.CONNECT_FAILED)
+        if self.behaviour == 'shed':
+            return verdict.not_run(verdict.Reason.SHED)
+        self.runs[call.request_id] += 1
+        try:
+            if self.blocked is not None:
+                await self.blocked.wait()
+            await asyncio.sleep(self.service_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if self.behaviour == 'close':
+            return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
+        status = 500 if self.behaviour == 'fail' else 200
+        answer = requests.Answer(status, (), call.request_id.encode())
+        return verdict.answered(answer)
+
+    async def fetch_load(self) -> int:
+        """Return that the load is unknown."""
+        return -1
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+@dataclasses.dataclass
+class Faults:
+    """What happens on the way to and from one sidecar.
+
+    Parameters
+    ----------
+    refuse : bool
+        New connections are refused.
+    hold_requests, hold_answers : bool
+        Frames are kept back until the test releases them.
+    duplicate : bool
+        Each frame towards the sidecar arrives twice.
+    """
+
+    refuse: bool = False
+    hold_requests: bool = False
+    hold_answers: bool = False
+    duplicate: bool = False
+
+
+class FakeWire:
+    """Connection whose frames take one millisecond each way."""
+
+    def __init__(
+        self,
+        server: Server,
+        on_frame: typing.Callable[[bytes], None],
+        on_closed: typing.Callable[[], None],
+    ) -> None:
+        self._server = server
+        self._on_frame = on_frame
+        self._on_closed = on_closed
+        self.silent = False
+        self.closed = False
+
+    def send(self, frame: bytes) -> bool:
+        """Carry a frame to the sidecar."""
+        if self.closed:
+            return False
+        if not self.silent:
+            self._server.carry_request(self, frame)
+        return True
+
+    def close(self) -> None:
+        """Close this end."""
+        self.closed = True
+
+    def cut(self) -> None:
+        """Close the other end."""
+        if not self.closed:
+            self.closed = True
+            self._on_closed()
+
+    def deliver(self, frame: bytes) -> None:
+        """Bring a frame back."""
+        if not self.closed and not self.silent:
+            self._on_frame(frame)
+
+
+class Server:
+    """One sidecar with the connections to it."""
+
+    def __init__(self, world: World, member: upstreams.Member) -> None:
+        self.world = world
+        self.member = member
+        self.upstream = FakeUpstream()
+        self.faults = Faults()
+        self.wires: list[FakeWire] = []
+        self.held_requests: list[tuple[FakeWire, bytes]] = []
+        self.held_answers: list[tuple[FakeWire, bytes]] = []
+        self.sidecar = self._create_sidecar(boot_id=1)
+
+    def restart(self) -> None:
+        """Replace the process: new boot id, all connections cut."""
+        self.sidecar = self._create_sidecar(self.sidecar.boot_id + 1)
+        self.cut()
+
+    def cut(self) -> None:
+        """Cut all connections."""
+        for wire in self.wires:
+            wire.cut()
+        self.wires.clear()
+
+    def silence(self) -> None:
+        """Let the open connections lose all frames from now on."""
+        for wire in self.wires:
+            wire.silent = True
+
+    def carry_request(self, wire: FakeWire, frame: bytes) -> None:
+        """Carry a frame to the sidecar, with the faults."""
+        is_request = isinstance(codec.decode(frame).unwrap(), messages.Request)
+        if is_request and self.faults.hold_requests:
+            self.held_requests.append((wire, frame))
+            return
+        for _ in range(2 if self.faults.duplicate else 1):
+            self._later(self._receive, wire, frame)
+
+    def release_requests(self) -> None:
+        """Let the requests arrive that were kept back."""
+        held, self.held_requests = self.held_requests, []
+        for wire, frame in held:
+            self._receive(wire, frame)
+
+    def release_answers(self) -> None:
+        """Let the answers arrive that were kept back, in reverse order."""
+        held, self.held_answers = self.held_answers, []
+        for wire, frame in reversed(held):
+            wire.deliver(frame)
+
+    def _create_sidecar(self, boot_id: int) -> sidecar.Sidecar:
+        created = sidecar.Sidecar(
+            boot_id,
+            sidecar.Limits(),
+            self.world.metrics,
+            self.world.loop.now_ms,
+        )
+        announcement = upstreams.Announcement(
+            self.member.service, 1, slots=self.member.slots
+        )
+        created.attach(announcement, self.upstream)
+        return created
+
+    def _receive(self, wire: FakeWire, frame: bytes) -> None:
+        message = codec.decode(frame).unwrap()
+
+        def send(reply: messages.Message) -> None:
+            encoded = codec.encode(reply)
+            is_answer = isinstance(reply, messages.Reply | messages.Failure)
+            if is_answer and self.faults.hold_answers:
+                self.held_answers.append((wire, encoded))
+                return
+            self._later(wire.deliver, encoded)
+
+        self.sidecar.handle(message, send)
+
+    def _later(self, function: typing.Any, *arguments: typing.Any) -> None:
+        self.world.loop.call_later(ONE_WAY_S, function, *arguments)
+
+
+class World:
+    """One ingress node, some sidecars, and virtual time."""
+
+    def __init__(self, policy: str = 'least_cost', seed: int = 1) -> None:
+        self.loop = virtual.VirtualLoop()
+        self.metrics = metrics.Metrics()
+        self.log = events.EventLog('test', self.metrics)
+        self.routes = table.RoutingTable(table.Place('ingress', 'a', 'r'))
+        self.servers: dict[str, Server] = {}
+        generator = random.Random(seed)
+        self._factory = pool.LinkFactory(self, messages.Hello('ingress', 9))
+        own = sidecar.Sidecar(
+            0, sidecar.Limits(), self.metrics, self.loop.now_ms
+        )
+        self.pool = pool.PeerPool(
+            'ingress',
+            self._factory,
+            own,
+            self.routes,
+            self.loop.now_ms,
+            self.log,
+            self.metrics,
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            selection.Selector(
+                self.routes, policies.create(policy, generator, 4)
+            ),
+            self.pool,
+            generator,
+            dispatcher.Clocks(self.loop.now_ms, self.loop.now_ms),
+            self.log,
+            self.metrics,
+        )
+        self.service = services.Service(
+            'fees',
+            hosts=('fees.example',),
+            idempotent=(services.RequestRule('GET', '/*'),),
+        )
+        self._ids = 0
+        self._ticking = self.loop.create_task(self._tick())
+
+    def add(self, node_id: str, slots: int = 2) -> Server:
+        """Add a node with an upstream of the service ``fees``."""
+        member = upstreams.Member(
+            node_id=node_id,
+            address=node_id,
+            failure_domain='a',
+            region='r',
+            incarnation=1,
+            version=1,
+            phase=upstreams.Phase.READY,
+            service='fees',
+            slots=slots,
+        )
+        server = Server(self, member)
+        self.servers[node_id] = server
+        self.routes.update(member)
+        return server
+
+    def open(
+        self,
+        address: str,
+        on_frame: typing.Callable[[bytes], None],
+        on_closed: typing.Callable[[], None],
+    ) -> FakeWire:
+        """Open a connection, as a transport does."""
+        server = self.servers[address]
+        wire = FakeWire(server, on_frame, on_closed)
+        if server.faults.refuse:
+            self.loop.call_later(ONE_WAY_S, wire.cut)
+        else:
+            server.wires.append(wire)
+        return wire
+
+    def call(
+        self,
+        method: str = 'POST',
+        timeout_ms: float = 2_000.0,
+        key: str = '',
+        request_id: str = '',
+        body: bytes = b'',
+    ) -> requests.Call:
+        """Return a new call of the service ``fees``."""
+        self._ids += 1
+        return requests.Call(
+            request_id=request_id or f'call-{self._ids}',
+            service='fees',
+            method=method,
+            target='/fee',
+            headers=(),
+            body=body,
+            idempotent=self.service.is_idempotent(method, '/fee'),
+            deadline_ms=self.loop.now_ms() + timeout_ms,
+            key=key,
+        )
+
+    def send(self, call: requests.Call) -> asyncio.Task[verdict.Verdict]:
+        """Start to dispatch a call."""
+        return self.loop.create_task(
+            self.dispatcher.dispatch(call, self.service)
+        )
+
+    def result(self, task: asyncio.Task[verdict.Verdict]) -> verdict.Verdict:
+        """Run until a call has its verdict."""
+        return self.loop.run_until_complete(task)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request ran, over all upstreams."""
+        return sum(
+            server.upstream.runs[request_id]
+            for server in self.servers.values()
+        )
+
+    def count(self, name: str, **labels: str) -> float:
+        """Return the value of a counter."""
+        value = self.metrics.registry.get_sample_value(
+            f'jasminebeam_{name}_total', labels
+        )
+        return value or 0.0
+
+    def close(self) -> None:
+        """End the world."""
+        self._ticking.cancel()
+        self.pool.close()
+        leftover = asyncio.all_tasks(self.loop)
+        for task in leftover:
+            task.cancel()
+        gathered = asyncio.gather(*leftover, return_exceptions=True)
+        self.loop.run_until_complete(gathered)
+        self.loop.close()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_ms = self.loop.now_ms()
+            self.pool.tick(now_ms)
+            for server in self.servers.values():
+                server.sidecar.expire(now_ms)
