Watch each member from the failure domain before its own

Cause: a test that cut a failure domain of four found a member that nobody outside watched, since one global ring leaves gaps. Conclusion: coverage of foreign watchers is complete by construction.

--- a/jasminebeam/membership/detector.py
+++ b/jasminebeam/membership/detector.py
@@ -11,7 +11,7 @@
     from jasminebeam.membership import table
 
 LOCAL_TARGETS = 2
-GLOBAL_TARGETS = 1
+MAX_FOREIGN_TARGETS = 4
 INDIRECT_AFTER_MISSED = 2
 SUSPECT_AFTER_MISSED = 4
 
@@ -39,8 +39,9 @@
     """Counts unanswered heartbeats of the watched members.
 
     Each node watches its successors in the ring of its failure domain,
-    which notices hosts, and one in the ring of all members, which notices
-    a lost failure domain.
+    which notices hosts, and its counterpart in the next failure domain,
+    which notices a lost domain or link. Every member has a watcher in the
+    domain before its own.
 
     Parameters
     ----------
@@ -92,13 +93,22 @@
         return now_ms - self._last_round_ms > 2.5 * self._interval_ms
 
     def _targets(self, members: table.MemberTable) -> list[str]:
-        domain_ring = members.rings[self._failure_domain]
-        targets = domain_ring.successors(self._node_id, LOCAL_TARGETS)
-        for target in members.ring.successors(
-            self._node_id, LOCAL_TARGETS + GLOBAL_TARGETS
-        ):
-            if len(targets) == LOCAL_TARGETS + GLOBAL_TARGETS:
-                break
-            if target not in targets:
-                targets.append(target)
+        ring = members.rings[self._failure_domain]
+        targets = ring.successors(self._node_id, LOCAL_TARGETS)
+        next_ring = self._next_ring(members)
+        if next_ring is None:
+            return targets
+        first = ring.index(self._node_id)
+        step = max(1, len(ring))
+        counterparts = range(first, len(next_ring), step)
+        targets.extend(map(next_ring.at, counterparts[:MAX_FOREIGN_TARGETS]))
         return targets
+
+    def _next_ring(self, members: table.MemberTable) -> table.Ring | None:
+        domains = sorted(
+            domain for domain, ring in members.rings.items() if len(ring)
+        )
+        if len(domains) < 2:
+            return None
+        index = domains.index(self._failure_domain)
+        return members.rings[domains[(index + 1) % len(domains)]]
--- a/jasminebeam/membership/table.py
+++ b/jasminebeam/membership/table.py
@@ -61,6 +61,10 @@
                 found.append(candidate)
         return found
 
+    def index(self, node_id: str) -> int:
+        """Return the position of a member, or where it would be."""
+        return bisect.bisect_left(self._entries, _ring_entry(node_id))
+
     def at(self, index: int) -> str:
         """Return the member at a position."""
         return self._entries[index][1]
--- /dev/null
+++ b/tests/test_admission/test_slots.py
@@ -0,0 +1,80 @@
+"""Tests of slots and queue."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from jasminebeam.admission import slots
+from jasminebeam.model import upstreams
+from jasminebeam import verdict
+
+LATE_MS = 1e9
+
+
+def test_full_slots_make_requests_wait():
+    """Requests beyond the slots wait, then are refused."""
+    queue = slots.SlotQueue(slots=1, queue_ratio=1.0)
+    assert queue.offer('a', LATE_MS, 0.0).step is slots.Step.START
+    assert queue.offer('b', LATE_MS, 0.0).step is slots.Step.WAIT
+    refused = queue.offer('c', LATE_MS, 0.0)
+    assert refused.reason is verdict.Reason.QUEUE_FULL
+
+
+def test_release_starts_the_next_and_drops_late_ones():
+    """A free slot goes to the first request that is not too late."""
+    queue = slots.SlotQueue(slots=1, queue_ratio=2.0)
+    queue.offer('a', LATE_MS, 0.0)
+    queue.offer('b', 50.0, 0.0)
+    queue.offer('c', LATE_MS, 0.0)
+    released = queue.release('a', 60.0, measured=True)
+    assert released.start == ('c',)
+    assert released.expired == ('b',)
+
+
+def test_request_that_would_miss_its_deadline_is_refused():
+    """The predicted wait decides before anything is queued."""
+    queue = slots.SlotQueue(slots=1, queue_ratio=5.0)
+    queue.offer('a', LATE_MS, 0.0)
+    refused = queue.offer('b', queue.predicted_wait_ms(), 0.0)
+    assert refused.reason is verdict.Reason.WOULD_MISS_DEADLINE
+
+
+def test_sample_counts_exactly():
+    """The sample shows flight, queue and the oldest request."""
+    queue = slots.SlotQueue(slots=1, queue_ratio=1.0)
+    queue.offer('a', LATE_MS, 0.0)
+    queue.offer('b', LATE_MS, 1.0)
+    sample = queue.sample(upstreams.Phase.READY, -1, 4.0)
+    assert (sample.in_flight, sample.queued) == (1, 1)
+    assert sample.oldest_us == 4_000
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['offer', 'release', 'withdraw']),
+            strategies.integers(0, 20),
+            strategies.floats(1.0, 100.0),
+        ),
+        max_size=100,
+    )
+)
+def test_slots_and_queue_stay_within_their_bounds(steps):
+    """No order of steps exceeds the slots or the queue."""
+    queue = slots.SlotQueue(slots=2, queue_ratio=1.5)
+    flying = set()
+    now_ms = 0.0
+    for number, (step, ticket, passed_ms) in enumerate(steps):
+        now_ms += passed_ms
+        if step == 'offer':
+            decision = queue.offer(number, now_ms + 50.0, now_ms)
+            if decision.step is slots.Step.START:
+                flying.add(number)
+        elif step == 'release' and flying:
+            done = flying.pop()
+            flying.update(queue.release(done, now_ms, True).start)
+        else:
+            queue.withdraw(ticket)
+        assert queue.in_flight == len(flying) <= 2
+        assert queue.queued <= 3
--- /dev/null
+++ b/tests/test_retries/test_registry.py
@@ -0,0 +1,136 @@
+"""Tests of the registry that hands each request over at most once."""
+
+from __future__ import annotations
+
+import copy
+import dataclasses
+
+from jasminebeam.model import requests
+from jasminebeam.retries import registry
+from jasminebeam import verdict
+
+ANSWER = verdict.answered(requests.Answer(200, (), b'x' * 10))
+DEPTH = 7
+
+
+@dataclasses.dataclass
+class Sidecar:
+    """One sidecar process and what it has told of one request."""
+
+    registry: registry.RequestRegistry
+    request_id: registry.RequestId
+    now_ms: float = 0.0
+    started: int = 0
+    claimed_not_run: bool = False
+
+
+def _create():
+    limits = registry.Limits(sessions=2, entries=2, retention_ms=10.0)
+    created = registry.RequestRegistry(limits)
+    return Sidecar(created, (created.open_session(), 1))
+
+
+def _deliver(sidecar):
+    sidecar.registry.accept(sidecar.request_id, sidecar.now_ms)
+
+
+def _start(sidecar):
+    if sidecar.registry.start(sidecar.request_id, sidecar.now_ms):
+        sidecar.started += 1
+
+
+def _finish(sidecar):
+    state = sidecar.registry.state(sidecar.request_id)
+    if state is registry.State.STARTED:
+        sidecar.registry.finish(sidecar.request_id, ANSWER, sidecar.now_ms)
+
+
+def _revoke(sidecar):
+    state = sidecar.registry.revoke(sidecar.request_id, sidecar.now_ms)
+    if state is registry.State.REVOKED:
+        sidecar.claimed_not_run = True
+
+
+def _expire(sidecar):
+    sidecar.now_ms += 100.0
+    sidecar.registry.expire(sidecar.now_ms)
+
+
+def _crowd(sidecar):
+    for sequence in (2, 3, 4):
+        other = (sidecar.request_id[0], sequence)
+        if sidecar.registry.accept(other, 0.0) is registry.State.NEW:
+            sidecar.registry.finish(other, ANSWER, sidecar.now_ms)
+
+
+def _drop_session(sidecar):
+    sidecar.registry.open_session()
+    sidecar.registry.open_session()
+
+
+STEPS = (_deliver, _start, _finish, _revoke, _expire, _crowd, _drop_session)
+
+
+def _explore(sidecar, depth):
+    assert sidecar.started <= 1
+    assert not (sidecar.claimed_not_run and sidecar.started)
+    if not depth:
+        return 1
+    count = 1
+    for step in STEPS:
+        branch = copy.deepcopy(sidecar)
+        step(branch)
+        if vars_of(branch) != vars_of(sidecar):
+            count += _explore(branch, depth - 1)
+    return count
+
+
+def vars_of(sidecar):
+    """Return all state of a sidecar, to skip steps that change nothing."""
+    return (
+        sidecar.started,
+        sidecar.claimed_not_run,
+        sidecar.now_ms,
+        vars(sidecar.registry),
+    )
+
+
+def test_any_order_of_messages_runs_a_request_at_most_once():
+    """Explore each order of deliveries, revocations and evictions."""
+    assert _explore(_create(), DEPTH) > 1_000
+
+
+def test_evicted_request_is_unknown_and_not_new():
+    """A duplicate of an evicted request must not start again."""
+    sidecar = _create()
+    _deliver(sidecar)
+    _start(sidecar)
+    _finish(sidecar)
+    _expire(sidecar)
+    state = sidecar.registry.state(sidecar.request_id)
+    assert state is registry.State.UNKNOWN
+
+
+def test_finished_request_keeps_its_answer():
+    """A revocation finds the answer of a finished request."""
+    sidecar = _create()
+    _deliver(sidecar)
+    _start(sidecar)
+    _finish(sidecar)
+    found = sidecar.registry.revoke(sidecar.request_id, 0.0)
+    assert found is registry.State.DONE
+    assert sidecar.registry.result(sidecar.request_id) == ANSWER
+
+
+def test_kept_answers_are_bounded():
+    """Large answers push older ones out."""
+    limits = registry.Limits(answer_bytes=25)
+    kept = registry.RequestRegistry(limits)
+    session = kept.open_session()
+    for sequence in range(1, 6):
+        kept.accept((session, sequence), 0.0)
+        kept.start((session, sequence), 0.0)
+        kept.finish((session, sequence), ANSWER, 0.0)
+    assert kept.result((session, 5)) == ANSWER
+    assert kept.result((session, 1)) is None
+    assert kept.state((session, 1)) is registry.State.UNKNOWN
