Sleep while there is nothing to check; keep collections short

Cause: an idle node used 2.0 to 2.4 % of a core. Cancelling one task after another showed 1.5 % in the sidecar's 20 ms expiry alone; a wake on this machine costs some 300 us of processor time when its caches are cold. Change: expiry, peer checks and probes wait for work; gauges are read when scraped; what the start allocates is frozen out of garbage collection.

--- a/jasminebeam/callers/dispatcher.py
+++ b/jasminebeam/callers/dispatcher.py
@@ -17,6 +17,8 @@
 if typing.TYPE_CHECKING:
     import random
 
+    import prometheus_client
+
     from jasminebeam.model import requests
     from jasminebeam.model import services
     from jasminebeam.peering import peers
@@ -112,6 +114,9 @@
         self._counters = counters
         self._tokens = itertools.count(1)
         self._budgets: dict[str, _ServiceBudgets] = {}
+        self._outcomes: dict[
+            tuple[str, verdict.Outcome], prometheus_client.Counter
+        ] = {}
 
     async def dispatch(
         self, call: requests.Call, service: services.Service
@@ -129,10 +134,17 @@
             result = await self._attempt_all(progress)
         finally:
             self._withdraw(progress)
-        outcome = result.outcome.value
-        self._counters.requests.labels(service.name, outcome).inc()
+        self._count(service.name, result.outcome)
         return result
 
+    def _count(self, service: str, outcome: verdict.Outcome) -> None:
+        name = (service, outcome)
+        counter = self._outcomes.get(name)
+        if counter is None:
+            counter = self._counters.requests.labels(service, outcome.value)
+            self._outcomes[name] = counter
+        counter.inc()
+
     async def _attempt_all(self, progress: _Progress) -> verdict.Verdict:
         refused = self._send(progress, hedge=False)
         if refused is not None:
--- a/jasminebeam/cmd/node.py
+++ b/jasminebeam/cmd/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import pathlib
 import signal
 import sys
@@ -25,6 +26,7 @@
 )
 
 EXIT_INVALID_SETTINGS = 2
+GC_ALLOCATIONS = 20_000
 
 
 class NodeService(aiomisc.Service):
@@ -42,6 +44,10 @@
 
 
 async def _run_until_signal(service: NodeService) -> None:
+    # What the start has allocated stays; collections need not visit it.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS, 20, 50)
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -43,8 +43,10 @@
     from jasminebeam.model import services
     from jasminebeam import settings as settings_module
 
-PROBE_TICK_S = 0.05
-EXPIRE_TICK_S = 0.02
+PROBE_TICK_S = 0.1
+EXPIRE_TICK_S = 0.05
+EXPIRE_IDLE_TICK_S = 2.0
+IDLE_TICK_S = 2.0
 LEAVE_GRACE_S = 0.2
 
 _DATA_KINDS = (
@@ -110,6 +112,8 @@
             self.log,
             self.metrics,
         )
+        self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
+        self.metrics.queued.set_function(lambda: self.sidecar.queued)
         self._announcements = announcements.AnnouncementServer(
             self, self.metrics
         )
@@ -373,24 +377,25 @@
     async def _tick_peers(self) -> None:
         interval_s = self._settings.peering.tick_ms / 1_000
         while True:
-            await asyncio.sleep(interval_s)
+            await self.pool.wait_busy(IDLE_TICK_S)
             self.pool.tick(clock.monotonic_ms())
+            await asyncio.sleep(interval_s)
 
     async def _tick_sidecar(self) -> None:
         while True:
-            await asyncio.sleep(EXPIRE_TICK_S)
+            await self.sidecar.wait_queued(EXPIRE_IDLE_TICK_S)
             self.sidecar.expire(clock.monotonic_ms())
-            self.metrics.in_flight.set(self.sidecar.in_flight)
-            self.metrics.queued.set(self.sidecar.queued)
+            await asyncio.sleep(EXPIRE_TICK_S)
 
     async def _probe(self) -> None:
         while True:
-            await asyncio.sleep(PROBE_TICK_S)
+            await self.probes.wait_used()
             now_ms = clock.monotonic_ms()
             for name in self.probes.services_in_use(now_ms):
                 service = self.services.service(name)
                 if service is not None:
                     self._probe_service(service, now_ms)
+            await asyncio.sleep(PROBE_TICK_S)
 
     def _probe_service(self, service: services.Service, now_ms: float) -> None:
         states = self.routes.subset_of(service.name, service.subset_size)
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import typing
 
 from jasminebeam.peering import links
@@ -94,9 +96,11 @@
         self._counters = counters
         self._peers: dict[tuple[str, str], peers.Peer] = {}
         self._pinged_ms = 0.0
+        self._in_use = asyncio.Event()
 
     def peer(self, node_id: str, address: str) -> peers.Peer:
         """Return the peer of a node."""
+        self._in_use.set()
         name = (node_id, address)
         known = self._peers.get(name)
         if known is None:
@@ -104,6 +108,15 @@
             self._peers[name] = known
         return known
 
+    async def wait_busy(self, timeout_s: float) -> None:
+        """Return when a peer is in use, or after a time."""
+        if any(known.busy for known in self._peers.values()):
+            return
+        self._in_use.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._in_use.wait()
+
     def tick(self, now_ms: float) -> None:
         """Check the connections and close those not used for long."""
         ping = now_ms - self._pinged_ms >= IDLE_PING_MS
--- a/jasminebeam/routing/probing.py
+++ b/jasminebeam/routing/probing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 
 from jasminebeam.retries import budget
@@ -33,10 +34,17 @@
     def __init__(self) -> None:
         self._budgets: dict[str, _Budgets] = {}
         self._used_ms: dict[str, float] = {}
+        self._used = asyncio.Event()
 
     def on_request(self, service: str, now_ms: float) -> None:
         """Record that a service is in use."""
         self._used_ms[service] = now_ms
+        self._used.set()
+
+    async def wait_used(self) -> None:
+        """Return when a service has been used since the last call."""
+        await self._used.wait()
+        self._used.clear()
 
     def services_in_use(self, now_ms: float) -> list[str]:
         """Return the services that were called lately."""
--- a/jasminebeam/upstreams/sidecar.py
+++ b/jasminebeam/upstreams/sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import typing
@@ -92,6 +93,7 @@
         self._work: dict[registry.RequestId, _Work] = {}
         self._idle = asyncio.Event()
         self._idle.set()
+        self._queueing = asyncio.Event()
         self._handlers = {
             messages.Hello: self._on_hello,
             messages.Request: self._on_request,
@@ -128,6 +130,15 @@
         """Return when no accepted request is left."""
         await self._idle.wait()
 
+    async def wait_queued(self, timeout_s: float) -> None:
+        """Return when requests wait for a slot, or after a time."""
+        if self._slots.queued:
+            return
+        self._queueing.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._queueing.wait()
+
     @property
     def in_flight(self) -> int:
         """Number of requests at the upstream."""
@@ -222,6 +233,8 @@
         elif decision.step is slots.Step.REFUSE:
             refused = verdict.not_run(decision.reason)
             self._finish(request_id, refused, now_ms)
+        else:
+            self._queueing.set()
 
     def _check_ready(self, call: requests.Call) -> verdict.Verdict | None:
         if self._stopping:
