--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from bench import sites
+from bench.standins import relay
 from bench.standins import upstream
 from jasminebeam.model import services as model_services
 from jasminebeam.operators import convert
@@ -52,10 +53,12 @@
         Start of the range of ports.
     directory : pathlib.Path
         Receives settings and logs.
-    policy : str
-        Routing policy of all nodes.
     with_store : bool
         True to start a stand-in store.
+    with_network : bool
+        True to put the stand-in network between the failure domains.
+    service_ms : float
+        Mean service time of the upstreams; 0 for the site's own.
     seed : int
         Seed of the service times.
     overrides : dict
@@ -64,8 +67,9 @@
 
     first_port: int
     directory: pathlib.Path
-    policy: str = 'least_cost'
     with_store: bool = True
+    with_network: bool = False
+    service_ms: float = 0.0
     seed: int = 1
     overrides: typing.Mapping[str, typing.Mapping[str, str]] = (
         dataclasses.field(default_factory=dict)
@@ -101,6 +105,7 @@
         self.store_port = options.first_port
         self.witness = Witness()
         self._witness_port = options.first_port + 1
+        self._network_port = options.first_port + 2
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._logs: list[typing.IO[bytes]] = []
         self._transport: asyncio.DatagramTransport | None = None
@@ -115,6 +120,8 @@
         )
         if self.options.with_store:
             await self._spawn_stand_in('store', 'store', str(self.store_port))
+        if self.options.with_network:
+            await self._start_network()
         for host in self.hosts:
             await self.start_host(host)
         await asyncio.gather(*(self._wait_ready(host) for host in self.hosts))
@@ -182,10 +189,19 @@
         url = f'http://127.0.0.1:{self.store_port}/-/faults'
         await _post(url, msgspec.json.encode(faults))
 
+    async def set_network_faults(self, faults: relay.Faults) -> None:
+        """Change the faults of the stand-in network."""
+        url = f'http://127.0.0.1:{self._network_port}/'
+        await _post(url, msgspec.json.encode(faults))
+
     async def drain(self, host: Host) -> None:
         """Announce to the node that its upstream drains."""
         await _post(f'http://127.0.0.1:{host.announce_port}/drain', b'')
 
+    async def announce(self, host: Host) -> None:
+        """Let the upstream announce itself again."""
+        await _post(f'http://127.0.0.1:{host.upstream_port}/-/announce', b'')
+
     async def metrics(self, host: Host) -> str:
         """Return a node's metrics as text."""
         url = f'http://127.0.0.1:{host.announce_port}/metrics'
@@ -246,7 +262,11 @@
             port=host.upstream_port,
             slots=self.site.slots,
             announce_url=url,
-            service_ms=service.service_ms,
+            service_ms=self.options.service_ms or service.service_ms,
+            next_url=f'http://{host.address}:{host.caller_port}/'
+            if service.calls
+            else '',
+            next_host=f'{service.calls}.example',
             seed=self.options.seed * 1_000 + host.index,
             witness_port=self._witness_port,
         )
@@ -281,12 +301,12 @@
                 'callers': {'port': str(host.caller_port)},
                 'peering': {
                     'port': str(host.peer_port),
+                    'advertise_address': self._advertised(host),
                     'seeds': self._seeds(),
                 },
                 'upstream': {'announce_port': str(host.announce_port)},
                 'operators': {'port': str(host.operator_port)},
                 'platform': {},
-                'routing': {'policy': self.options.policy},
                 'telemetry': {'log_format': 'json'},
             }
         )
@@ -299,9 +319,36 @@
 
     def _seeds(self) -> str:
         return ' '.join(
-            f'{host.address}:{host.peer_port}' for host in self.hosts[:3]
+            self._advertised(host) or f'{host.address}:{host.peer_port}'
+            for host in self.hosts[:3]
         )
 
+    def _advertised(self, host: Host) -> str:
+        if not self.options.with_network:
+            return ''
+        return f'{_network_address(host)}:{host.peer_port}'
+
+    async def _start_network(self) -> None:
+        routes = tuple(
+            relay.Route(
+                _network_address(host),
+                host.peer_port,
+                host.address,
+                host.failure_domain,
+            )
+            for host in self.hosts
+        )
+        options = relay.Options(
+            control_port=self._network_port,
+            routes=routes,
+            domains={host.address: host.failure_domain for host in self.hosts},
+            one_way_ms=self.site.one_way_ms,
+            jitter_ms=0.2 * self.site.one_way_ms,
+            seed=self.options.seed,
+        )
+        encoded = msgspec.json.encode(options).decode()
+        await self._spawn_stand_in('network', 'relay', encoded)
+
     async def _wait_ready(self, host: Host) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
             while True:
@@ -324,6 +371,10 @@
         return sum(found.phase == 'ready' for found in answer.upstreams)
 
 
+def _network_address(host: Host) -> str:
+    return f'127.0.2.{host.index + 1}'
+
+
 def _hosts(site: sites.Site, first_port: int) -> list[Host]:
     names = [
         service.name
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -23,12 +23,15 @@
         Requests that may run more than once.
     service_ms : float
         Mean service time of the stand-in upstreams.
+    calls : str
+        Service that each request calls in turn; empty for none.
     """
 
     name: str
     targets: int
     idempotent: tuple[services.RequestRule, ...]
     service_ms: float
+    calls: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,4 +88,23 @@
     ),
 )
 
-SITES = {site.name: site for site in (JUAZEIRO, KAPLANOGLU)}
+# Five services that call each other, to see retries multiply or not.
+CHAIN = Site(
+    name='chain',
+    region='marmara',
+    failure_domains=('besiktas', 'kadikoy'),
+    one_way_ms=3.0,
+    caller_ms=3.0,
+    services=tuple(
+        SiteService(
+            f'depth{depth}',
+            2,
+            READ_ONLY,
+            5.0,
+            calls=f'depth{depth + 1}' if depth < 5 else '',
+        )
+        for depth in range(1, 6)
+    ),
+)
+
+SITES = {site.name: site for site in (JUAZEIRO, KAPLANOGLU, CHAIN)}
--- a/bench/standins/run.py
+++ b/bench/standins/run.py
@@ -10,6 +10,7 @@
 import msgspec
 import uvloop
 
+from bench.standins import relay
 from bench.standins import store
 from bench.standins import upstream
 
@@ -31,8 +32,15 @@
 
 
 def main(arguments: list[str]) -> None:
-    """Run ``store PORT`` or ``upstream OPTIONS`` (JSON) until SIGTERM."""
+    """Run ``store PORT``, or ``upstream`` or ``relay`` with options.
+
+    The options are JSON; the process runs until SIGTERM.
+    """
     kind, argument = arguments
+    if kind == 'relay':
+        network = msgspec.json.decode(argument, type=relay.Options)
+        uvloop.run(_run(lambda: relay.StandInNetwork(network)))
+        return
     if kind == 'store':
         uvloop.run(_run(lambda: store.StandInStore(int(argument))))
         return
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -36,6 +36,8 @@
     witness_port : int
         Loopback UDP port that is told the id of each request as it runs;
         0 for none.
+    next_url, next_host : str
+        Service that each request calls in turn; empty for none.
     """
 
     service: str
@@ -48,6 +50,8 @@
     report_lag_ms: float = 1_000.0
     seed: int = 1
     witness_port: int = 0
+    next_url: str = ''
+    next_host: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +99,7 @@
         self._started_ms = clock.monotonic_ms()
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled = 0
+        self._session: aiohttp.ClientSession | None = None
         self._witness = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         server = web.Server(
             self._handle, handler_cancellation=True, access_log=None
@@ -136,6 +141,8 @@
     async def stop(self) -> None:
         """Stop listening."""
         await self._runner.cleanup()
+        if self._session is not None:
+            await self._session.close()
         self._witness.close()
 
     def set_faults(self, faults: Faults) -> None:
@@ -169,6 +176,8 @@
             self._change_active(-1)
         if self._faults.close_after_receipt:
             request.transport.abort()
+        if self._options.next_url:
+            return await self._call_next(request, request_id)
         headers = {'X-Served-Id': request_id}
         return web.Response(body=body or request_id.encode(), headers=headers)
 
@@ -178,6 +187,32 @@
             address = ('127.0.0.1', self._options.witness_port)
             self._witness.sendto(request_id.encode(), address)
 
+    async def _call_next(
+        self, request: web.BaseRequest, request_id: str
+    ) -> web.Response:
+        """Call the next service and pass its answer on."""
+        headers = {
+            'Host': self._options.next_host,
+            'X-Request-Id': request_id,
+        }
+        timeout_ms = request.headers.get('Jasminebeam-Timeout-Ms')
+        if timeout_ms:
+            headers['Jasminebeam-Timeout-Ms'] = timeout_ms
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        async with self._session.get(
+            self._options.next_url, headers=headers
+        ) as answer:
+            body = await answer.read()
+            passed_on = {
+                name: value
+                for name, value in answer.headers.items()
+                if name == 'Jasminebeam-Final'
+            }
+            return web.Response(
+                status=answer.status, body=body, headers=passed_on
+            )
+
     async def _control(self, request: web.BaseRequest) -> web.Response:
         if request.path == '/-/load':
             return web.Response(text=str(self._reported()))
@@ -185,6 +220,9 @@
             return web.json_response(
                 {'runs': dict(self.runs), 'cancelled': self.cancelled}
             )
+        if request.path == '/-/announce':
+            await self.announce()
+            return web.json_response({})
         if request.path == '/-/faults' and request.method == 'POST':
             faults = msgspec.json.decode(await request.read(), type=Faults)
             self.set_faults(faults)
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 import time
 import typing
@@ -37,6 +38,8 @@
         Mean requests per second (Poisson arrivals).
     idempotent : bool
         True if the request may run more than once.
+    start_s, end_s : float
+        Part of the schedule in which the stream is active.
     """
 
     name: str
@@ -45,6 +48,8 @@
     path: str
     per_s: float
     idempotent: bool
+    start_s: float = 0.0
+    end_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,7 +150,7 @@
         Receives the seconds of each step of the schedule.
     """
     recorder = Recorder()
-    schedule = _schedule(streams, duration_s, seed)
+    planned = schedule(streams, duration_s, seed)
     connector = aiohttp.TCPConnector(limit=0, force_close=False)
     started_s = time.perf_counter()
     processor_s = time.process_time()
@@ -155,7 +160,7 @@
         session._retry_connection = False
         tasks = set()
         reported_s = 0.0
-        for number, (at_s, stream) in enumerate(schedule):
+        for number, (at_s, stream) in enumerate(planned):
             wait_s = started_s + at_s - time.perf_counter()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
@@ -181,18 +186,20 @@
     return recorder
 
 
-def _schedule(
+def schedule(
     streams: typing.Sequence[Stream], duration_s: float, seed: int
 ) -> list[tuple[float, Stream]]:
+    """Return the arrival times in seconds, in order."""
     generator = random.Random(seed)
-    schedule = []
+    planned = []
     for stream in streams:
-        at_s = generator.expovariate(stream.per_s)
-        while at_s < duration_s:
-            schedule.append((at_s, stream))
+        end_s = min(stream.end_s, duration_s)
+        at_s = stream.start_s + generator.expovariate(stream.per_s)
+        while at_s < end_s:
+            planned.append((at_s, stream))
             at_s += generator.expovariate(stream.per_s)
-    schedule.sort(key=lambda item: item[0])
-    return schedule
+    planned.sort(key=lambda item: item[0])
+    return planned
 
 
 async def _send(
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -12,6 +12,10 @@
 SERVICE_TIME_WEIGHT = 0.1
 INITIAL_SERVICE_MS = 5.0
 
+# Without a completion for this many expected ones, the chance that the
+# upstream still works at its usual speed is exp(-3), about 5 %.
+MISSED_COMPLETIONS = 3.0
+
 
 class Step(enum.Enum):
     """What to do with an offered request."""
@@ -74,6 +78,7 @@
         self._started: dict[object, float] = {}
         self._queue: collections.deque[Waiting] = collections.deque()
         self._service_ms = INITIAL_SERVICE_MS
+        self._completed_ms = 0.0
         self._sequence = 0
 
     @property
@@ -87,14 +92,33 @@
         return len(self._queue)
 
     def offer(
-        self, ticket: object, deadline_ms: float, now_ms: float
+        self,
+        ticket: object,
+        deadline_ms: float,
+        max_wait_ms: float,
+        now_ms: float,
     ) -> Decision:
-        """Decide whether a request starts, waits or is refused."""
-        if now_ms + self.predicted_wait_ms() >= deadline_ms:
-            return Decision(Step.REFUSE, verdict.Reason.WOULD_MISS_DEADLINE)
+        """Decide whether a request starts, waits or is refused.
+
+        Parameters
+        ----------
+        ticket : object
+            Identity of the request.
+        deadline_ms : float
+            Monotonic instant after which the request is not started.
+        max_wait_ms : float
+            Longest predicted wait that the ingress node accepts.
+        now_ms : float
+            Monotonic time.
+        """
         if len(self._started) < self.slots and not self._queue:
-            self._started[ticket] = now_ms
+            self._start(ticket, now_ms)
             return START
+        wait_ms = self.predicted_wait_ms(now_ms)
+        if now_ms + wait_ms >= deadline_ms:
+            return Decision(Step.REFUSE, verdict.Reason.WOULD_MISS_DEADLINE)
+        if wait_ms > max_wait_ms:
+            return Decision(Step.REFUSE, verdict.Reason.BUSY)
         if len(self._queue) >= self.slots * self._queue_ratio:
             return Decision(Step.REFUSE, verdict.Reason.QUEUE_FULL)
         self._queue.append(Waiting(ticket, deadline_ms))
@@ -119,6 +143,7 @@
         if started_ms is not None and measured:
             change_ms = now_ms - started_ms - self._service_ms
             self._service_ms += SERVICE_TIME_WEIGHT * change_ms
+            self._completed_ms = now_ms
         return self._fill(now_ms)
 
     def withdraw(self, ticket: object) -> bool:
@@ -138,12 +163,24 @@
             self._queue.remove(waiting)
         return tuple(waiting.ticket for waiting in late)
 
-    def predicted_wait_ms(self) -> float:
+    def service_ms(self, now_ms: float) -> float:
+        """Return the service time, raised while completions are missing.
+
+        With n requests in flight and none completed for a time T, the
+        service time is at least n T / 3 with a confidence of 95 %.
+        """
+        if not self._started:
+            return self._service_ms
+        quiet_ms = now_ms - self._completed_ms
+        expected_ms = quiet_ms * len(self._started) / MISSED_COMPLETIONS
+        return max(self._service_ms, expected_ms)
+
+    def predicted_wait_ms(self, now_ms: float) -> float:
         """Return the time that a new request would wait for a slot."""
         ahead = len(self._started) + len(self._queue) + 1 - self.slots
         if ahead <= 0:
             return 0.0
-        return ahead * self._service_ms / self.slots
+        return ahead * self.service_ms(now_ms) / self.slots
 
     def sample(
         self, phase: upstreams.Phase, reported: int, now_ms: float
@@ -158,12 +195,18 @@
             in_flight=len(self._started),
             queued=len(self._queue),
             slots=self.slots,
-            service_us=int(self._service_ms * 1_000),
+            service_us=int(self.service_ms(now_ms) * 1_000),
             oldest_us=int(oldest_ms * 1_000),
             reported=reported,
             phase=phase,
         )
 
+    def _start(self, ticket: object, now_ms: float) -> None:
+        if not self._started:
+            # An idle upstream completes nothing; the count begins anew.
+            self._completed_ms = now_ms
+        self._started[ticket] = now_ms
+
     def _fill(self, now_ms: float) -> Released:
         start = []
         expired = []
@@ -172,6 +215,6 @@
             if waiting.deadline_ms <= now_ms:
                 expired.append(waiting.ticket)
                 continue
-            self._started[waiting.ticket] = now_ms
+            self._start(waiting.ticket, now_ms)
             start.append(waiting.ticket)
         return Released(tuple(start), tuple(expired))
--- a/jasminebeam/callers/dispatcher.py
+++ b/jasminebeam/callers/dispatcher.py
@@ -25,12 +25,13 @@
     from jasminebeam.routing import selection
     from jasminebeam.telemetry import metrics
 
-HEDGE_QUANTILE = 0.95
 FIRST_HEDGE_MS = 50.0
 MIN_HEDGE_MS = 2.0
 CANCEL_GRACE_S = 0.05
 RETRY_BURST = 10.0
 HEDGE_BURST = 5.0
+REROUTE_RATIO = 0.5
+REROUTE_BURST = 20.0
 
 
 class PeerSource(typing.Protocol):
@@ -44,8 +45,9 @@
 class _ServiceBudgets:
     retries: budget.RatioBudget
     hedges: budget.RatioBudget
+    reroutes: budget.RatioBudget
     latency: quantile.QuantileEstimate
-    ratios: tuple[float, float]
+    options: tuple[float, float, float]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -128,6 +130,7 @@
         budgets = self._budgets_of(service)
         budgets.retries.earn()
         budgets.hedges.earn()
+        budgets.reroutes.earn()
         started_ms = self._clocks.monotonic_ms()
         progress = _Progress(call, service, budgets, started_ms)
         try:
@@ -187,7 +190,11 @@
         reason = result.reason.value
         if result.answer is not None:
             reason = verdict.Reason.SERVER_ERROR.value
-        if not progress.budgets.retries.take():
+        budgets = progress.budgets
+        spent = budgets.retries
+        if policy.is_reroute(result):
+            spent = budgets.reroutes
+        if not spent.take():
             self._counters.retries_denied.labels(service, reason).inc()
             return False
         jitter = self._generator.random()
@@ -220,7 +227,13 @@
         peer = self._source.peer(member.node_id, member.address)
         token = next(self._tokens)
         state.on_sent(token, now_ms)
-        attempt = peer.submit(call)
+        wait_ms = policy.max_wait_ms(
+            progress.attempts,
+            progress.budgets.latency.value_ms,
+            call.deadline_ms - now_ms,
+            progress.budgets.reroutes.available >= 1.0 and not call.key,
+        )
+        attempt = peer.submit(call, wait_ms)
         sending = _Sending(token, state, peer, attempt, hedge)
         progress.sendings[attempt.future] = sending
         progress.tried.add(member.node_id)
@@ -324,14 +337,21 @@
         progress.sendings.clear()
 
     def _budgets_of(self, service: services.Service) -> _ServiceBudgets:
-        ratios = (service.retry_ratio, service.hedge_ratio)
+        options = (
+            service.retry_ratio,
+            service.hedge_ratio,
+            service.hedge_quantile,
+        )
         known = self._budgets.get(service.name)
-        if known is None or known.ratios != ratios:
+        if known is None or known.options != options:
             known = _ServiceBudgets(
                 budget.RatioBudget(service.retry_ratio, RETRY_BURST),
                 budget.RatioBudget(service.hedge_ratio, HEDGE_BURST),
-                quantile.QuantileEstimate(HEDGE_QUANTILE, FIRST_HEDGE_MS),
-                ratios,
+                budget.RatioBudget(REROUTE_RATIO, REROUTE_BURST),
+                quantile.QuantileEstimate(
+                    service.hedge_quantile, FIRST_HEDGE_MS
+                ),
+                options,
             )
             self._budgets[service.name] = known
         return known
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -148,8 +148,9 @@
             raise ProblemError(404, 'no such service', 'no service matches')
         body = await self._read_body(request)
         call = self._call_from(request, service, body, started_ms)
-        self._probes.on_request(service.name, started_ms)
         result = await self._dispatcher.dispatch(call, service)
+        size_bytes = _wire_bytes(call, result)
+        self._probes.on_request(service, size_bytes, started_ms)
         taken_s = (self._clock() - started_ms) / 1_000
         self._counters.latency.labels(service.name).observe(taken_s)
         return _verdict_response(result)
@@ -242,6 +243,20 @@
     return key
 
 
+def _wire_bytes(call: requests.Call, result: verdict.Verdict) -> int:
+    """Return roughly the bytes of a request and its answer."""
+    size_bytes = len(call.target) + len(call.body)
+    size_bytes += _header_bytes(call.headers)
+    if result.answer is not None:
+        size_bytes += len(result.answer.body)
+        size_bytes += _header_bytes(result.answer.headers)
+    return size_bytes
+
+
+def _header_bytes(pairs: requests.Headers) -> int:
+    return sum(len(name) + len(value) for name, value in pairs)
+
+
 def _verdict_response(result: verdict.Verdict) -> web.Response:
     if result.answer is not None:
         answer = result.answer
--- a/jasminebeam/configuration/validation.py
+++ b/jasminebeam/configuration/validation.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import re
-import typing
 
 from returns import result
 
-if typing.TYPE_CHECKING:
-    from jasminebeam.model import services
+from jasminebeam.model import services
 
 MAX_SERVICE_BYTES = 65_536
 _NAME = re.compile(r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$')
@@ -17,8 +15,10 @@
     'timeout_ms': (1, 600_000),
     'retry_ratio': (0.0, 1.0),
     'hedge_ratio': (0.0, 1.0),
+    'hedge_quantile': (0.5, 0.999),
     'probes_per_s': (0.0, 1_000.0),
     'probe_bytes_per_s': (0.0, 1_000_000.0),
+    'probe_share': (0.0, 1.0),
     'max_ejected_ratio': (0.0, 0.9),
     'subset_size': (1, 256),
     'key_window_ms': (0, 3_600_000),
@@ -59,6 +59,8 @@
                 'idempotent: a rule needs a method and a path pattern '
                 'that begins with a slash'
             )
+    if service.policy not in services.POLICIES:
+        return f'policy: must be one of {", ".join(services.POLICIES)}'
     return ''
 
 
--- a/jasminebeam/model/services.py
+++ b/jasminebeam/model/services.py
@@ -42,6 +42,15 @@
     return re.compile(fnmatch.translate(path_pattern))
 
 
+POLICIES = (
+    'least_cost',
+    'random',
+    'round_robin',
+    'least_reported',
+    'two_choices',
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """One service with its budgets and deadlines.
@@ -60,14 +69,20 @@
         Longest time that a request may take.
     retry_ratio, hedge_ratio : float
         Retries and hedges allowed, as a share of requests.
+    hedge_quantile : float
+        Share of requests that are answered before a hedge is sent.
     probes_per_s, probe_bytes_per_s : float
         Budget of one node for load probes of this service.
+    probe_share : float
+        Most bytes of probes as a share of the bytes of requests.
     max_ejected_ratio : float
         Largest share of the upstreams that may be ejected at once.
     subset_size : int
         Number of upstreams that one ingress node uses.
     key_window_ms : int
         Time for which an idempotency key's answer is kept.
+    policy : str
+        Name of the routing policy.
     """
 
     name: str
@@ -77,11 +92,14 @@
     timeout_ms: int = 2_000
     retry_ratio: float = 0.1
     hedge_ratio: float = 0.05
+    hedge_quantile: float = 0.95
     probes_per_s: float = 4.0
     probe_bytes_per_s: float = 600.0
+    probe_share: float = 0.01
     max_ejected_ratio: float = 0.34
     subset_size: int = 16
     key_window_ms: int = 120_000
+    policy: str = 'least_cost'
 
     def is_idempotent(self, method: str, target: str) -> bool:
         """Return True if a rule declares the request idempotent."""
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -48,6 +48,7 @@
 EXPIRE_IDLE_TICK_S = 2.0
 IDLE_TICK_S = 2.0
 LEAVE_GRACE_S = 0.2
+POLICY_CHOICES = 4
 
 _DATA_KINDS = (
     messages.Hello,
@@ -248,7 +249,6 @@
         self._authenticator.start()
 
     def _start_ingress(self) -> None:
-        routing = self._settings.routing
         self.pool = pool.PeerPool(
             self._settings.node.node_id,
             self._factory,
@@ -258,11 +258,9 @@
             self.log,
             self.metrics,
         )
-        policy = policies.create(
-            routing.policy, self._generator, routing.choices
-        )
+        by_name = policies.create_all(self._generator, POLICY_CHOICES)
         self.dispatcher = dispatcher.Dispatcher(
-            selection.Selector(self.routes, policy),
+            selection.Selector(self.routes, by_name),
             self.pool,
             self._generator,
             dispatcher.Clocks(clock.monotonic_ms, clock.wall_ms),
@@ -406,9 +404,10 @@
             sent = peer.probe()
             result = 'sent' if sent else 'not_connected'
             self.metrics.probes.labels(service.name, result).inc()
-            self.metrics.probe_bytes.labels(service.name).inc(
-                probing.PROBE_WIRE_BYTES
-            )
+            if sent:
+                self.metrics.probe_bytes.labels(service.name).inc(
+                    probing.PROBE_WIRE_BYTES
+                )
 
     async def _read_load(self) -> None:
         interval_s = self._settings.upstream.load_interval_ms / 1_000
--- a/jasminebeam/operators/convert.py
+++ b/jasminebeam/operators/convert.py
@@ -15,6 +15,9 @@
     'max_ejected_ratio',
     'subset_size',
     'key_window_ms',
+    'probe_share',
+    'policy',
+    'hedge_quantile',
 )
 
 
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -47,6 +47,8 @@
         Identity of the request: a sidecar runs it at most once.
     time_left_us : int
         Time until the deadline, counted from the sending.
+    max_wait_us : int
+        Longest predicted wait for a slot that the sender accepts.
     request_id, service, method, target, headers, body, idempotent, key
         As in `jasminebeam.model.requests.Call`.
     """
@@ -55,6 +57,7 @@
     session: int
     sequence: int
     time_left_us: int
+    max_wait_us: int
     request_id: str
     service: str
     method: str
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -30,6 +30,8 @@
     ----------
     call : Call
         The request.
+    max_wait_ms : float
+        Longest predicted wait for a slot that is accepted.
     future : asyncio.Future
         Resolves to the verdict on this attempt.
     boot_id, session, sequence : int
@@ -41,6 +43,7 @@
     """
 
     call: requests.Call
+    max_wait_ms: float
     future: asyncio.Future[verdict.Verdict]
     boot_id: int = 0
     session: int = 0
@@ -114,12 +117,20 @@
         """True while attempts are in progress."""
         return bool(self._sent or self._waiting or self._recovering)
 
-    def submit(self, call: requests.Call) -> Attempt:
-        """Send a call, or queue it until the connection is ready."""
+    def submit(self, call: requests.Call, max_wait_ms: float) -> Attempt:
+        """Send a call, or queue it until the connection is ready.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        max_wait_ms : float
+            Longest predicted wait for a slot that is accepted.
+        """
         now_ms = self._clock()
         self.used_ms = now_ms
         future = asyncio.get_running_loop().create_future()
-        attempt = Attempt(call, future)
+        attempt = Attempt(call, max_wait_ms, future)
         if self._link is None and not self._connect(now_ms):
             attempt.resolve(verdict.not_run(verdict.Reason.NOT_CONNECTED))
         elif self._link.state is links.LinkState.READY:
@@ -235,6 +246,7 @@
                 session=attempt.session,
                 sequence=attempt.sequence,
                 time_left_us=int((call.deadline_ms - now_ms) * 1_000),
+                max_wait_us=int(attempt.max_wait_ms * 1_000),
                 request_id=call.request_id,
                 service=call.service,
                 method=call.method,
--- a/jasminebeam/retries/budget.py
+++ b/jasminebeam/retries/budget.py
@@ -27,17 +27,53 @@
     def __init__(self, ratio: float, burst: float) -> None:
         self._ratio = ratio
         self._burst = burst
-        self._tokens = burst
+        self.available = burst
 
     def earn(self) -> None:
         """Count one request."""
-        self._tokens = min(self._burst, self._tokens + self._ratio)
+        self.available = min(self._burst, self.available + self._ratio)
 
     def take(self) -> bool:
         """Take one extra attempt; False if none is left."""
-        if self._tokens < 1.0:
+        if self.available < 1.0:
             return False
-        self._tokens -= 1.0
+        self.available -= 1.0
+        return True
+
+
+class ShareBudget:
+    """Allows an amount as a share of another amount.
+
+    Parameters
+    ----------
+    share : float
+        Amount allowed for each unit that is earned with.
+    most_saved : float
+        Most that can be saved up.
+
+    Examples
+    --------
+    >>> budget = ShareBudget(share=0.01, most_saved=300.0)
+    >>> budget.earn(20_000)
+    >>> budget.take(150.0), budget.take(150.0)
+    (True, False)
+    """
+
+    def __init__(self, share: float, most_saved: float) -> None:
+        self._share = share
+        self._most_saved = most_saved
+        self.available = 0.0
+
+    def earn(self, amount: float) -> None:
+        """Count the amount that a share is allowed of."""
+        saved = self.available + amount * self._share
+        self.available = min(self._most_saved, saved)
+
+    def take(self, amount: float) -> bool:
+        """Take an amount; False, and nothing taken, if it is not there."""
+        if self.available < amount:
+            return False
+        self.available -= amount
         return True
 
 
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -29,6 +29,20 @@
 )
 
 
+_REROUTED = frozenset(
+    {
+        verdict.Reason.BUSY,
+        verdict.Reason.DRAINING,
+        verdict.Reason.STOPPING,
+        verdict.Reason.REVOKED,
+    }
+)
+
+# Longest wait of each attempt, as a share of the usual latency.
+_WAIT_SHARES = (0.1, 0.3)
+LAST_WAIT_SHARE = 0.5
+
+
 class Next(enum.Enum):
     """What follows an attempt."""
 
@@ -62,6 +76,49 @@
     return Next.RETRY
 
 
+def max_wait_ms(
+    attempts: int,
+    usual_ms: float,
+    left_ms: float,
+    can_reroute: bool,
+) -> float:
+    """Return how long an attempt may wait for a slot.
+
+    Early attempts rather go elsewhere than wait: their refusal proves
+    that they did not run and brings a fresh load sample.
+
+    Parameters
+    ----------
+    attempts : int
+        Attempts sent before.
+    usual_ms : float
+        Usual latency of the service.
+    left_ms : float
+        Time until the deadline.
+    can_reroute : bool
+        True while the budget allows refused attempts to go elsewhere.
+
+    Examples
+    --------
+    >>> max_wait_ms(0, 200.0, 1_000.0, can_reroute=True)
+    20.0
+    >>> max_wait_ms(0, 200.0, 1_000.0, can_reroute=False)
+    500.0
+    """
+    if not can_reroute or attempts >= len(_WAIT_SHARES):
+        return LAST_WAIT_SHARE * left_ms
+    return _WAIT_SHARES[attempts] * usual_ms
+
+
+def is_reroute(result: verdict.Verdict) -> bool:
+    """Return True for a refusal that sends the request elsewhere.
+
+    The upstream has no work from it, so that it does not count as a
+    retry.
+    """
+    return result.reason in _REROUTED
+
+
 def may_repeat(call: requests.Call, result: verdict.Verdict) -> bool:
     """Return True if sending again is safe and can help."""
     if result.reason in _POINTLESS:
--- a/jasminebeam/routing/policies.py
+++ b/jasminebeam/routing/policies.py
@@ -118,25 +118,23 @@
         )
 
 
-def create(name: str, generator: random.Random, choices: int) -> Policy:
-    """Return the policy of a name.
+def create_all(generator: random.Random, choices: int) -> dict[str, Policy]:
+    """Return the policies by the names that operators use.
 
-    Raises
-    ------
-    KeyError
-        If there is no such policy.
+    Parameters
+    ----------
+    generator : random.Random
+        Source of the random choices.
+    choices : int
+        Candidates that the policy ``least_cost`` compares.
     """
-    if name == 'least_cost':
-        return LeastCost(generator, choices, scoring.Weights())
-    return BASELINES[name](generator)
-
-
-BASELINES = {
-    'random': RandomChoice,
-    'round_robin': RoundRobin,
-    'least_reported': LeastReported,
-    'two_choices': TwoChoices,
-}
+    return {
+        'least_cost': LeastCost(generator, choices, scoring.Weights()),
+        'random': RandomChoice(generator),
+        'round_robin': RoundRobin(generator),
+        'least_reported': LeastReported(generator),
+        'two_choices': TwoChoices(generator),
+    }
 
 
 def _reported(state: table.UpstreamState) -> int:
--- a/jasminebeam/routing/probing.py
+++ b/jasminebeam/routing/probing.py
@@ -18,11 +18,39 @@
 PROBE_WIRE_BYTES = 150.0
 
 
+# Share of the traffic's bytes that can be saved up for later probes.
+SAVED_PROBES = 4
+
+
 class _Budgets:
     def __init__(self, service: services.Service, now_ms: float) -> None:
-        self.limits = (service.probes_per_s, service.probe_bytes_per_s)
+        self.limits = _limits(service)
         self.count = budget.RateBudget(service.probes_per_s, now_ms)
         self.size = budget.RateBudget(service.probe_bytes_per_s, now_ms)
+        self.share = budget.ShareBudget(
+            service.probe_share, SAVED_PROBES * PROBE_WIRE_BYTES
+        )
+
+    def take(self, now_ms: float) -> bool:
+        """Take one probe from all budgets, or from none."""
+        size_bytes = PROBE_WIRE_BYTES
+        if self.share.available < size_bytes:
+            return False
+        if self.size.available(now_ms) < size_bytes:
+            return False
+        if not self.count.take(1.0, now_ms):
+            return False
+        self.size.take(size_bytes, now_ms)
+        self.share.take(size_bytes)
+        return True
+
+
+def _limits(service: services.Service) -> tuple[float, float, float]:
+    return (
+        service.probes_per_s,
+        service.probe_bytes_per_s,
+        service.probe_share,
+    )
 
 
 class ProbePlanner:
@@ -36,9 +64,22 @@
         self._used_ms: dict[str, float] = {}
         self._used = asyncio.Event()
 
-    def on_request(self, service: str, now_ms: float) -> None:
-        """Record that a service is in use."""
-        self._used_ms[service] = now_ms
+    def on_request(
+        self, service: services.Service, size_bytes: int, now_ms: float
+    ) -> None:
+        """Record a request of a service.
+
+        Parameters
+        ----------
+        service : Service
+            Service that is called.
+        size_bytes : int
+            Bytes of the request and its answer.
+        now_ms : float
+            Monotonic time.
+        """
+        self._used_ms[service.name] = now_ms
+        self._budgets_of(service, now_ms).share.earn(size_bytes)
         self._used.set()
 
     async def wait_used(self) -> None:
@@ -73,20 +114,16 @@
         old.sort(key=lambda state: state.sample_ms)
         planned = []
         for state in old:
-            if budgets.size.available(now_ms) < PROBE_WIRE_BYTES:
-                break
-            if not budgets.count.take(1.0, now_ms):
+            if not budgets.take(now_ms):
                 break
-            budgets.size.take(PROBE_WIRE_BYTES, now_ms)
             planned.append(state)
         return planned
 
     def _budgets_of(
         self, service: services.Service, now_ms: float
     ) -> _Budgets:
-        limits = (service.probes_per_s, service.probe_bytes_per_s)
         known = self._budgets.get(service.name)
-        if known is None or known.limits != limits:
+        if known is None or known.limits != _limits(service):
             known = _Budgets(service, now_ms)
             self._budgets[service.name] = known
         return known
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -32,15 +32,17 @@
     ----------
     routes : RoutingTable
         The known upstreams.
-    policy : Policy
-        Chooses among the eligible ones.
+    by_name : mapping of str to Policy
+        Policies that choose among the eligible ones.
     """
 
     def __init__(
-        self, routes: table.RoutingTable, policy: policies.Policy
+        self,
+        routes: table.RoutingTable,
+        by_name: typing.Mapping[str, policies.Policy],
     ) -> None:
         self._routes = routes
-        self._policy = policy
+        self._policies = by_name
 
     def choose(
         self,
@@ -69,7 +71,8 @@
         fresh = self._outside_silent_domains(fresh)
         if not fresh:
             return Choice(None, verdict.Reason.NO_UPSTREAM)
-        return Choice(self._policy.choose(fresh, now_ms, wall_ms))
+        policy = self._policies[service.policy]
+        return Choice(policy.choose(fresh, now_ms, wall_ms))
 
     def _outside_silent_domains(
         self, states: list[table.UpstreamState]
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -24,6 +24,7 @@
         verdict.Reason.CANCELLED,
         verdict.Reason.REVOKED,
         verdict.Reason.QUEUE_FULL,
+        verdict.Reason.BUSY,
         verdict.Reason.WOULD_MISS_DEADLINE,
         verdict.Reason.DEADLINE,
         verdict.Reason.SHED,
--- a/jasminebeam/settings.py
+++ b/jasminebeam/settings.py
@@ -115,7 +115,7 @@
     """
 
     announce_port: Port
-    queue_ratio: typing.Annotated[float, msgspec.Meta(ge=0, le=100)] = 1.0
+    queue_ratio: typing.Annotated[float, msgspec.Meta(ge=0, le=100)] = 4.0
     max_answer_bytes: typing.Annotated[
         int, msgspec.Meta(ge=1, le=1_048_576)
     ] = 1_048_576
@@ -160,23 +160,6 @@
     lease_s: typing.Annotated[int, msgspec.Meta(ge=2, le=600)] = 10
 
 
-class RoutingSection(_Section):
-    """Choice of the upstream.
-
-    Parameters
-    ----------
-    policy : str
-        Name of the policy.
-    choices : int
-        Upstreams that the policy ``least_cost`` compares.
-    """
-
-    policy: typing.Literal[
-        'least_cost', 'random', 'round_robin', 'least_reported', 'two_choices'
-    ] = 'least_cost'
-    choices: typing.Annotated[int, msgspec.Meta(ge=1, le=64)] = 4
-
-
 class TelemetrySection(_Section):
     """Logs.
 
@@ -202,7 +185,6 @@
     upstream: UpstreamSection
     operators: OperatorsSection
     platform: PlatformSection
-    routing: RoutingSection
     telemetry: TelemetrySection
 
 
@@ -213,7 +195,6 @@
     'upstream': UpstreamSection,
     'operators': OperatorsSection,
     'platform': PlatformSection,
-    'routing': RoutingSection,
     'telemetry': TelemetrySection,
 }
 
--- a/jasminebeam/upstreams/sidecar.py
+++ b/jasminebeam/upstreams/sidecar.py
@@ -39,7 +39,7 @@
         Bounds of the request registry.
     """
 
-    queue_ratio: float = 1.0
+    queue_ratio: float = 4.0
     key_window_ms: float = 120_000.0
     max_keys: int = 20_000
     registry: registry.Limits = dataclasses.field(
@@ -52,6 +52,7 @@
     call: requests.Call
     send: Send
     accepted_ms: float
+    max_wait_ms: float
     holds_key: bool = False
     task: asyncio.Task[verdict.Verdict] | None = None
 
@@ -209,7 +210,9 @@
         if before is not registry.State.NEW:
             self._answer_known(request_id, before, send)
             return
-        work = _Work(_call_from(message, now_ms), send, now_ms)
+        max_wait_ms = message.max_wait_us / 1_000
+        call = _call_from(message, now_ms)
+        work = _Work(call, send, now_ms, max_wait_ms)
         self._work[request_id] = work
         self._idle.clear()
         self._admit(request_id, work, now_ms)
@@ -226,8 +229,9 @@
         if refused is not None:
             self._finish(request_id, refused, now_ms)
             return
-        deadline_ms = work.call.deadline_ms
-        decision = self._slots.offer(request_id, deadline_ms, now_ms)
+        decision = self._slots.offer(
+            request_id, work.call.deadline_ms, work.max_wait_ms, now_ms
+        )
         if decision.step is slots.Step.START:
             self._start(request_id, now_ms)
         elif decision.step is slots.Step.REFUSE:
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -32,6 +32,7 @@
     DRAINING = 'draining'
     STOPPING = 'stopping'
     QUEUE_FULL = 'queue_full'
+    BUSY = 'busy'
     WOULD_MISS_DEADLINE = 'would_miss_deadline'
     DEADLINE = 'deadline'
     CANCELLED = 'cancelled'
--- a/tests/test_routing/test_selection.py
+++ b/tests/test_routing/test_selection.py
@@ -60,8 +60,8 @@
 
 
 def _selector(routes, choices=4):
-    policy = policies.create('least_cost', random.Random(1), choices)
-    return selection.Selector(routes, policy)
+    by_name = policies.create_all(random.Random(1), choices)
+    return selection.Selector(routes, by_name)
 
 
 def test_least_loaded_upstream_is_chosen(routes):
--- a/tests/world.py
+++ b/tests/world.py
@@ -210,7 +210,7 @@
 class World:
     """One ingress node, some sidecars, and virtual time."""
 
-    def __init__(self, policy: str = 'least_cost', seed: int = 1) -> None:
+    def __init__(self, seed: int = 1) -> None:
         self.loop = virtual.VirtualLoop()
         self.metrics = metrics.Metrics()
         self.log = events.EventLog('test', self.metrics)
@@ -231,9 +231,7 @@
             self.metrics,
         )
         self.dispatcher = dispatcher.Dispatcher(
-            selection.Selector(
-                self.routes, policies.create(policy, generator, 4)
-            ),
+            selection.Selector(self.routes, policies.create_all(generator, 4)),
             self.pool,
             generator,
             dispatcher.Clocks(self.loop.now_ms, self.loop.now_ms),
