Tell ingress nodes of stalls; wait for attempts that can still answer

Change: a refusal never decides while another attempt is in progress; a sidecar that misses completions sends one notice to the ingress nodes that used it within two seconds, which then avoid it and hedge; refused attempts go elsewhere first and wait last. CURVE keys now reach the authenticator (its domain did not match).

--- a/jasminebeam/callers/dispatcher.py
+++ b/jasminebeam/callers/dispatcher.py
@@ -66,13 +66,24 @@
     budgets: _ServiceBudgets
     started_ms: float
     attempts: int = 0
+    patient: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
     sendings: dict[asyncio.Future[verdict.Verdict], _Sending] = (
         dataclasses.field(default_factory=dict)
     )
     hedged: bool = False
+    stalled: bool = False
+    wake: asyncio.Future[None] = dataclasses.field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
     may_have_run: verdict.Verdict | None = None
 
+    def on_stall(self) -> None:
+        """Stop waiting, because an upstream has stalled."""
+        self.stalled = True
+        if not self.wake.done():
+            self.wake.set_result(None)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Clocks:
@@ -160,13 +171,15 @@
             if result.outcome is verdict.Outcome.ANSWERED:
                 taken_ms = now_ms - progress.started_ms
                 progress.budgets.latency.add(taken_ms)
+            if progress.sendings and policy.is_worth_waiting(
+                progress.call, result, now_ms
+            ):
+                continue
             step = policy.decide(
                 progress.call, result, progress.attempts, now_ms
             )
             if step is policy.Next.RETURN:
                 return self._conclude(progress, result)
-            if progress.sendings:
-                continue
             if not await self._retry(progress, result):
                 return self._conclude(progress, result)
 
@@ -190,11 +203,13 @@
         reason = result.reason.value
         if result.answer is not None:
             reason = verdict.Reason.SERVER_ERROR.value
-        budgets = progress.budgets
-        spent = budgets.retries
-        if policy.is_reroute(result):
-            spent = budgets.reroutes
-        if not spent.take():
+        if progress.patient or not policy.is_reroute(result):
+            allowed = progress.budgets.retries.take()
+        else:
+            # Without budget the next attempt waits where it is sent.
+            progress.patient = not progress.budgets.reroutes.take()
+            allowed = True
+        if not allowed:
             self._counters.retries_denied.labels(service, reason).inc()
             return False
         jitter = self._generator.random()
@@ -226,12 +241,14 @@
         member = state.member
         peer = self._source.peer(member.node_id, member.address)
         token = next(self._tokens)
-        state.on_sent(token, now_ms)
+        state.on_sent(token, now_ms, progress.on_stall)
+        if call.key or policy.is_last_reroute(progress.attempts):
+            progress.patient = True
         wait_ms = policy.max_wait_ms(
             progress.attempts,
             progress.budgets.latency.value_ms,
             call.deadline_ms - now_ms,
-            progress.budgets.reroutes.available >= 1.0 and not call.key,
+            progress.patient,
         )
         attempt = peer.submit(call, wait_ms)
         sending = _Sending(token, state, peer, attempt, hedge)
@@ -243,23 +260,30 @@
     async def _next_result(self, progress: _Progress) -> verdict.Verdict:
         while True:
             timeout_ms = self._wait_ms(progress)
+            waited = list(progress.sendings)
+            if not progress.wake.done():
+                waited.append(progress.wake)
             done, _ = await asyncio.wait(
-                progress.sendings,
+                waited,
                 timeout=timeout_ms / 1_000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            done.discard(progress.wake)
             if done:
                 return self._settle(progress, done.pop())
             now_ms = self._clocks.monotonic_ms()
             if now_ms >= progress.call.deadline_ms:
                 return await self._time_out(progress)
-            self._on_slow(progress)
+            if not progress.hedged:
+                self._on_slow(progress)
 
     def _wait_ms(self, progress: _Progress) -> float:
         now_ms = self._clocks.monotonic_ms()
         left_ms = max(0.0, progress.call.deadline_ms - now_ms)
         if progress.hedged:
             return left_ms
+        if progress.stalled:
+            return 0.0
         hedge_at_ms = progress.started_ms + max(
             MIN_HEDGE_MS, progress.budgets.latency.value_ms
         )
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -66,6 +66,9 @@
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the time that a ping and its answer took."""
 
+    def on_stall(self, stalled: bool) -> None:
+        """Record that the upstream has begun or ended to be slow."""
+
 
 class Peer:
     """One sidecar: its present connection and the attempts sent to it.
@@ -110,6 +113,7 @@
             messages.Running: self._on_running,
             messages.Pong: self._on_pong,
             messages.ProbeReply: self._on_probe_reply,
+            messages.StallNotice: self._on_stall_notice,
         }
 
     @property
@@ -303,6 +307,10 @@
             return
         if reason is verdict.Reason.REVOKED:
             self._counters.revocations.labels('not_run').inc()
+            self._log.write(
+                events.Event.REQUEST_REVOKED,
+                request_id=attempt.call.request_id,
+            )
         attempt.resolve(verdict.not_run(reason))
 
     def _on_running(self, message: messages.Running) -> None:
@@ -320,6 +328,10 @@
     def _on_probe_reply(self, message: messages.ProbeReply) -> None:
         self._observer.on_sample(message.sample, self._clock())
 
+    def _on_stall_notice(self, message: messages.StallNotice) -> None:
+        self._observer.on_sample(message.sample, self._clock())
+        self._observer.on_stall(message.stalled)
+
     def _take(self, session: int, sequence: int) -> Attempt | None:
         request_id = (session, sequence)
         attempt = self._sent.pop(request_id, None)
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -176,3 +176,9 @@
         state = self._routes.state(self._node_id)
         if state is not None:
             state.on_round_trip(round_trip_ms)
+
+    def on_stall(self, stalled: bool) -> None:
+        """Record that the upstream has begun or ended to be slow."""
+        state = self._routes.state(self._node_id)
+        if state is not None:
+            state.on_stall(stalled)
--- a/jasminebeam/peering/security.py
+++ b/jasminebeam/peering/security.py
@@ -9,6 +9,9 @@
 from zmq.auth import asyncio as zmq_auth
 
 
+ZAP_DOMAIN = 'jasminebeam'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientKeys:
     """Keys for outgoing connections; all are Z85 strings.
@@ -66,7 +69,7 @@
         """Answer the library's questions about keys from now on."""
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
-            credentials_provider=self._provider
+            domain=ZAP_DOMAIN, credentials_provider=self._provider
         )
 
     def stop(self) -> None:
@@ -78,4 +81,4 @@
     """Require CURVE on a socket that is going to be bound."""
     socket.curve_secretkey = secret_key.encode()
     socket.curve_server = True
-    socket.zap_domain = b'jasminebeam'
+    socket.zap_domain = ZAP_DOMAIN.encode()
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -80,7 +80,7 @@
     attempts: int,
     usual_ms: float,
     left_ms: float,
-    can_reroute: bool,
+    patient: bool,
 ) -> float:
     """Return how long an attempt may wait for a slot.
 
@@ -95,21 +95,40 @@
         Usual latency of the service.
     left_ms : float
         Time until the deadline.
-    can_reroute : bool
-        True while the budget allows refused attempts to go elsewhere.
+    patient : bool
+        True if the attempt waits rather than goes elsewhere.
 
     Examples
     --------
-    >>> max_wait_ms(0, 200.0, 1_000.0, can_reroute=True)
+    >>> max_wait_ms(0, 200.0, 1_000.0, patient=False)
     20.0
-    >>> max_wait_ms(0, 200.0, 1_000.0, can_reroute=False)
+    >>> max_wait_ms(0, 200.0, 1_000.0, patient=True)
     500.0
     """
-    if not can_reroute or attempts >= len(_WAIT_SHARES):
+    if patient or is_last_reroute(attempts):
         return LAST_WAIT_SHARE * left_ms
     return _WAIT_SHARES[attempts] * usual_ms
 
 
+def is_last_reroute(attempts: int) -> bool:
+    """Return True if the next attempt must wait where it is sent."""
+    return attempts >= len(_WAIT_SHARES)
+
+
+def is_worth_waiting(
+    call: requests.Call, result: verdict.Verdict, now_ms: float
+) -> bool:
+    """Return True if another attempt in progress can still do better.
+
+    A refusal of one attempt proves nothing about the others.
+    """
+    if now_ms >= call.deadline_ms:
+        return False
+    if result.answer is None:
+        return True
+    return may_repeat(call, result)
+
+
 def is_reroute(result: verdict.Verdict) -> bool:
     """Return True for a refusal that sends the request elsewhere.
 
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -69,6 +69,7 @@
             state for state in candidates if state.member.node_id not in tried
         ]
         fresh = self._outside_silent_domains(fresh)
+        fresh = [state for state in fresh if not state.stalled] or fresh
         if not fresh:
             return Choice(None, verdict.Reason.NO_UPSTREAM)
         policy = self._policies[service.policy]
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -56,10 +56,12 @@
         'measured',
         'member',
         'outstanding',
+        'outstanding_wakes',
         'round_trip_ms',
         'sample',
         'sample_ms',
         'sent_since_sample',
+        'stalled',
     )
 
     def __init__(self, member: upstreams.Member, round_trip_ms: float) -> None:
@@ -70,6 +72,8 @@
         self.sample_ms = 0.0
         self.sent_since_sample = 0
         self.outstanding: dict[int, float] = {}
+        self.outstanding_wakes: dict[int, typing.Callable[[], None]] = {}
+        self.stalled = False
         self.failure_rate = 0.0
         self.consecutive_failures = 0
         self.ejected_until_ms = 0.0
@@ -79,6 +83,7 @@
         """Take over a changed record; older samples may not apply."""
         if member.incarnation != self.member.incarnation:
             self.ejected_until_ms = 0.0
+            self.stalled = False
             self.sample = None
         elif member.phase is not self.member.phase:
             self.sample = None
@@ -102,9 +107,29 @@
         change_ms = round_trip_ms - self.round_trip_ms
         self.round_trip_ms += ROUND_TRIP_WEIGHT * change_ms
 
-    def on_sent(self, token: int, now_ms: float) -> None:
-        """Record the sending of an attempt."""
+    def on_stall(self, stalled: bool) -> None:
+        """Record a stall and wake those who wait for answers."""
+        self.stalled = stalled
+        if stalled:
+            for wake in list(self.outstanding_wakes.values()):
+                wake()
+
+    def on_sent(
+        self, token: int, now_ms: float, wake: typing.Callable[[], None]
+    ) -> None:
+        """Record the sending of an attempt.
+
+        Parameters
+        ----------
+        token : int
+            Names the attempt.
+        now_ms : float
+            Monotonic time.
+        wake : callable
+            Called when the upstream stalls before it has answered.
+        """
         self.outstanding[token] = now_ms
+        self.outstanding_wakes[token] = wake
         self.sent_since_sample += 1
 
     def on_result(
@@ -112,6 +137,7 @@
     ) -> bool:
         """Record the end of an attempt; True if it ejects the upstream."""
         self.outstanding.pop(token, None)
+        self.outstanding_wakes.pop(token, None)
         if result.reason in _HARMLESS:
             return False
         if not is_failure(result):
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -36,7 +36,6 @@
     TASK_FAILED = EventKind(103, logbook.ERROR, 'background task failed')
     UPSTREAM_ANNOUNCED = EventKind(200, logbook.INFO, 'upstream announced')
     UPSTREAM_DRAINING = EventKind(201, logbook.INFO, 'upstream draining')
-    UPSTREAM_GONE = EventKind(202, logbook.WARNING, 'upstream left')
     LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
--- a/jasminebeam/upstreams/sidecar.py
+++ b/jasminebeam/upstreams/sidecar.py
@@ -9,6 +9,7 @@
 import typing
 
 from jasminebeam.admission import slots
+from jasminebeam.admission import stalls
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
 from jasminebeam.peering import messages
@@ -20,7 +21,7 @@
     from jasminebeam.telemetry import metrics
     from jasminebeam.upstreams import client
 
-Send = typing.Callable[[messages.Message], object]
+Send = typing.Callable[[messages.Message], int | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,7 +95,9 @@
         self._work: dict[registry.RequestId, _Work] = {}
         self._idle = asyncio.Event()
         self._idle.set()
-        self._queueing = asyncio.Event()
+        self._working = asyncio.Event()
+        self._stall = stalls.StallDetector()
+        self._listeners: stalls.Listeners[Send] = stalls.Listeners()
         self._handlers = {
             messages.Hello: self._on_hello,
             messages.Request: self._on_request,
@@ -131,14 +134,24 @@
         """Return when no accepted request is left."""
         await self._idle.wait()
 
-    async def wait_queued(self, timeout_s: float) -> None:
-        """Return when requests wait for a slot, or after a time."""
-        if self._slots.queued:
+    async def wait_working(self, timeout_s: float) -> None:
+        """Return when there are requests in progress, or after a time."""
+        if self._work:
             return
-        self._queueing.clear()
+        self._working.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                await self._queueing.wait()
+                await self._working.wait()
+
+    def check_stall(self, now_ms: float) -> None:
+        """Tell the ingress nodes when a stall begins or ends."""
+        if not self._stall.update(self._slots.service_ms(now_ms)):
+            return
+        notice = messages.StallNotice(self._stall.stalled, self.sample(now_ms))
+        for send in self._listeners.recent(now_ms):
+            size_bytes = send(notice)
+            self._counters.stall_notices.inc()
+            self._counters.stall_notice_bytes.inc(size_bytes or 0)
 
     @property
     def in_flight(self) -> int:
@@ -214,7 +227,9 @@
         call = _call_from(message, now_ms)
         work = _Work(call, send, now_ms, max_wait_ms)
         self._work[request_id] = work
+        self._listeners.use(message.session, send, now_ms)
         self._idle.clear()
+        self._working.set()
         self._admit(request_id, work, now_ms)
 
     def _admit(
@@ -237,8 +252,6 @@
         elif decision.step is slots.Step.REFUSE:
             refused = verdict.not_run(decision.reason)
             self._finish(request_id, refused, now_ms)
-        else:
-            self._queueing.set()
 
     def _check_ready(self, call: requests.Call) -> verdict.Verdict | None:
         if self._stopping:
--- /dev/null
+++ b/tests/test_upstreams/test_client.py
@@ -0,0 +1,123 @@
+"""Tests of the HTTP client towards the upstream, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from jasminebeam.model import requests
+from jasminebeam.model import upstreams
+from jasminebeam.upstreams import client
+from jasminebeam import verdict
+from tests import ports
+
+
+class RawUpstream:
+    """Answers each request with fixed bytes, then maybe closes."""
+
+    def __init__(self):
+        self.port = ports.free_port()
+        self.answer = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        self.close_after = False
+        self.heads = []
+        self.server = None
+
+    async def start(self):
+        """Listen."""
+        self.server = await asyncio.start_server(
+            self._serve, '127.0.0.1', self.port
+        )
+
+    async def _serve(self, reader, writer):
+        while True:
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            self.heads.append(head)
+            if self.close_after:
+                break
+            writer.write(self.answer)
+        writer.close()
+
+
+@pytest.fixture
+async def upstream():
+    """Provide a raw upstream."""
+    created = RawUpstream()
+    await created.start()
+    yield created
+    created.server.close()
+
+
+@pytest.fixture
+async def tested(upstream):
+    """Provide a client of the upstream."""
+    announcement = upstreams.Announcement(
+        's', upstream.port, shed_status=503, shed_header='X-Shed'
+    )
+    created = client.HttpUpstreamClient(announcement, max_answer_bytes=100)
+    yield created
+    await created.close()
+
+
+def _call(method='GET'):
+    return requests.Call('id', 's', method, '/x?y=1', (), b'', False, 0.0)
+
+
+@pytest.mark.parametrize('method', ['GET', 'HEAD', 'PUT', 'DELETE', 'POST'])
+async def test_request_is_not_sent_again_on_a_lost_connection(
+    upstream, tested, method
+):
+    """The kept-alive connection closes after receipt: it counts one."""
+    first = await tested.run(_call(), 5_000.0)
+    assert first.outcome is verdict.Outcome.ANSWERED
+    upstream.close_after = True
+    result = await tested.run(_call(method), 5_000.0)
+    assert result.outcome is verdict.Outcome.MAY_HAVE_RUN
+    assert len(upstream.heads) == 2
+
+
+async def test_refused_connection_did_not_run(upstream, tested):
+    """Nothing can have reached the upstream."""
+    upstream.server.close()
+    await upstream.server.wait_closed()
+    result = await tested.run(_call(), 5_000.0)
+    assert result == verdict.not_run(verdict.Reason.CONNECT_FAILED)
+
+
+async def test_shed_needs_status_and_header(upstream, tested):
+    """Only the declared way of shedding proves that nothing ran."""
+    head = b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n'
+    upstream.answer = head + b'\r\n'
+    assert (await tested.run(_call(), 5_000.0)).answer.status == 503
+    upstream.answer = head + b'X-Shed: 1\r\n\r\n'
+    result = await tested.run(_call(), 5_000.0)
+    assert result == verdict.not_run(verdict.Reason.SHED)
+
+
+async def test_redirects_are_not_followed(upstream, tested):
+    """The caller gets the redirect itself."""
+    upstream.answer = (
+        b'HTTP/1.1 302 F\r\nLocation: /z\r\nContent-Length: 0\r\n\r\n'
+    )
+    result = await tested.run(_call(), 5_000.0)
+    assert result.answer.status == 302
+    assert len(upstream.heads) == 1
+
+
+async def test_too_large_answer_may_have_run(upstream, tested):
+    """It is refused without being read to its end."""
+    upstream.answer = b'HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n'
+    result = await tested.run(_call(), 5_000.0)
+    assert result == verdict.may_have_run(verdict.Reason.ANSWER_TOO_LARGE)
+
+
+async def test_target_and_time_left_are_passed_on(upstream, tested):
+    """The raw target is not normalised."""
+    await tested.run(_call(), 5_000.0)
+    head = upstream.heads[0].decode()
+    assert head.startswith('GET /x?y=1 HTTP/1.1\r\n')
+    assert 'Jasminebeam-Timeout-Ms: 5000' in head
+    assert 'X-Request-Id: id' in head
