--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
 import socket
@@ -61,7 +62,7 @@
     Parameters
     ----------
     slow_factor : float
-        Multiple of the service time.
+        Multiple of the service time, also of requests in progress.
     fail_fast : bool
         Answer 500 at once.
     shed : bool
@@ -93,6 +94,7 @@
         self._faults = Faults()
         self._free_slots = asyncio.Semaphore(options.slots)
         self._active = 0
+        self._speed_changed = asyncio.Event()
         self._reports: collections.deque[tuple[float, int]] = (
             collections.deque([(0.0, 0)])
         )
@@ -148,6 +150,8 @@
     def set_faults(self, faults: Faults) -> None:
         """Change the faults in force."""
         self._faults = faults
+        self._speed_changed.set()
+        self._speed_changed = asyncio.Event()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.path.startswith('/-/'):
@@ -168,7 +172,7 @@
         try:
             async with self._free_slots:
                 self._count_run(request_id)
-                await asyncio.sleep(self._service_s())
+                await self._work(self._service_s())
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -233,10 +237,20 @@
         options = self._options
         mean_log = -(options.sigma**2) / 2
         factor = self._generator.lognormvariate(mean_log, options.sigma)
-        factor *= self._faults.slow_factor
         factor *= self._cold_factor()
         return options.service_ms * factor / 1_000
 
+    async def _work(self, left_s: float) -> None:
+        """Do an amount of work at a speed that may change meanwhile."""
+        loop = asyncio.get_running_loop()
+        while left_s > 0:
+            factor = self._faults.slow_factor
+            started_s = loop.time()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s * factor):
+                    await self._speed_changed.wait()
+            left_s -= (loop.time() - started_s) / factor
+
     def _cold_factor(self) -> float:
         if not self._options.cold_start_ms:
             return 1.0
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -79,6 +79,7 @@
         self._queue: collections.deque[Waiting] = collections.deque()
         self._service_ms = INITIAL_SERVICE_MS
         self._completed_ms = 0.0
+        self.completed = 0
         self._sequence = 0
 
     @property
@@ -141,8 +142,10 @@
         """
         started_ms = self._started.pop(ticket, None)
         if started_ms is not None and measured:
+            self.completed += 1
+            weight = max(SERVICE_TIME_WEIGHT, 1 / self.completed)
             change_ms = now_ms - started_ms - self._service_ms
-            self._service_ms += SERVICE_TIME_WEIGHT * change_ms
+            self._service_ms += weight * change_ms
             self._completed_ms = now_ms
         return self._fill(now_ms)
 
--- a/jasminebeam/admission/stalls.py
+++ b/jasminebeam/admission/stalls.py
@@ -7,8 +7,10 @@
 
 Listener = typing.TypeVar('Listener')
 
-STALLED_RATIO = 2.0
-RECOVERED_RATIO = 1.3
+STALLED_RATIO = 1.6
+RECOVERED_RATIO = 1.2
+USUAL_WEIGHT = 0.02
+STALLED_WEIGHT = 0.002
 RECENT_USE_MS = 2_000.0
 MAX_LISTENERS = 64
 
@@ -16,12 +18,10 @@
 class StallDetector:
     """Tells when an upstream begins and ends to be slow.
 
-    The usual service time follows the estimate slowly, and only while
-    the upstream is not stalled.
+    The usual service time follows the estimate, and far more slowly
+    during a stall, so that a lasting change ends it.
     """
 
-    _WEIGHT = 0.02
-
     def __init__(self) -> None:
         self.stalled = False
         self._usual_ms = 0.0
@@ -37,9 +37,8 @@
         if not self._usual_ms:
             self._usual_ms = service_ms
         ratio = service_ms / self._usual_ms
-        if not self.stalled:
-            change_ms = service_ms - self._usual_ms
-            self._usual_ms += self._WEIGHT * change_ms
+        weight = STALLED_WEIGHT if self.stalled else USUAL_WEIGHT
+        self._usual_ms += weight * (service_ms - self._usual_ms)
         before = self.stalled
         if ratio >= STALLED_RATIO:
             self.stalled = True
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -66,7 +66,7 @@
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the time that a ping and its answer took."""
 
-    def on_stall(self, stalled: bool) -> None:
+    def on_stall(self, stalled: bool, now_ms: float) -> None:
         """Record that the upstream has begun or ended to be slow."""
 
 
@@ -330,7 +330,7 @@
 
     def _on_stall_notice(self, message: messages.StallNotice) -> None:
         self._observer.on_sample(message.sample, self._clock())
-        self._observer.on_stall(message.stalled)
+        self._observer.on_stall(message.stalled, self._clock())
 
     def _take(self, session: int, sequence: int) -> Attempt | None:
         request_id = (session, sequence)
--- a/jasminebeam/upstreams/sidecar.py
+++ b/jasminebeam/upstreams/sidecar.py
@@ -21,6 +21,9 @@
     from jasminebeam.telemetry import metrics
     from jasminebeam.upstreams import client
 
+# Requests whose service times are averaged before a stall is told.
+MIN_COMPLETED = 20
+
 Send = typing.Callable[[messages.Message], int | None]
 
 
@@ -145,6 +148,8 @@
 
     def check_stall(self, now_ms: float) -> None:
         """Tell the ingress nodes when a stall begins or ends."""
+        if self._slots.completed < MIN_COMPLETED:
+            return
         if not self._stall.update(self._slots.service_ms(now_ms)):
             return
         notice = messages.StallNotice(self._stall.stalled, self.sample(now_ms))
