Remove the notices of stalls

Conclusion: with about nine requests in progress it takes some 60 ms of missing completions to be sure, by when the hedge is due anyway.

--- a/jasminebeam/callers/dispatcher.py
+++ b/jasminebeam/callers/dispatcher.py
@@ -72,18 +72,8 @@
         dataclasses.field(default_factory=dict)
     )
     hedged: bool = False
-    stalled: bool = False
-    wake: asyncio.Future[None] = dataclasses.field(
-        default_factory=lambda: asyncio.get_running_loop().create_future()
-    )
     may_have_run: verdict.Verdict | None = None
 
-    def on_stall(self) -> None:
-        """Stop waiting, because an upstream has stalled."""
-        self.stalled = True
-        if not self.wake.done():
-            self.wake.set_result(None)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Clocks:
@@ -241,7 +231,7 @@
         member = state.member
         peer = self._source.peer(member.node_id, member.address)
         token = next(self._tokens)
-        state.on_sent(token, now_ms, progress.on_stall)
+        state.on_sent(token, now_ms)
         if call.key or policy.is_last_reroute(progress.attempts):
             progress.patient = True
         wait_ms = policy.max_wait_ms(
@@ -260,30 +250,23 @@
     async def _next_result(self, progress: _Progress) -> verdict.Verdict:
         while True:
             timeout_ms = self._wait_ms(progress)
-            waited = list(progress.sendings)
-            if not progress.wake.done():
-                waited.append(progress.wake)
             done, _ = await asyncio.wait(
-                waited,
+                progress.sendings,
                 timeout=timeout_ms / 1_000,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            done.discard(progress.wake)
             if done:
                 return self._settle(progress, done.pop())
             now_ms = self._clocks.monotonic_ms()
             if now_ms >= progress.call.deadline_ms:
                 return await self._time_out(progress)
-            if not progress.hedged:
-                self._on_slow(progress)
+            self._on_slow(progress)
 
     def _wait_ms(self, progress: _Progress) -> float:
         now_ms = self._clocks.monotonic_ms()
         left_ms = max(0.0, progress.call.deadline_ms - now_ms)
         if progress.hedged:
             return left_ms
-        if progress.stalled:
-            return 0.0
         hedge_at_ms = progress.started_ms + max(
             MIN_HEDGE_MS, progress.budgets.latency.value_ms
         )
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -44,7 +44,7 @@
     from jasminebeam import settings as settings_module
 
 PROBE_TICK_S = 0.1
-EXPIRE_TICK_S = 0.02
+EXPIRE_TICK_S = 0.05
 EXPIRE_IDLE_TICK_S = 2.0
 IDLE_TICK_S = 2.0
 LEAVE_GRACE_S = 0.2
@@ -382,9 +382,7 @@
     async def _tick_sidecar(self) -> None:
         while True:
             await self.sidecar.wait_working(EXPIRE_IDLE_TICK_S)
-            now_ms = clock.monotonic_ms()
-            self.sidecar.expire(now_ms)
-            self.sidecar.check_stall(now_ms)
+            self.sidecar.expire(clock.monotonic_ms())
             await asyncio.sleep(EXPIRE_TICK_S)
 
     async def _probe(self) -> None:
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -145,13 +145,6 @@
     sample: upstreams.LoadSample
 
 
-class StallNotice(Message, tag=23):
-    """Tells ingress nodes that a stall of the upstream begins or ends."""
-
-    stalled: bool
-    sample: upstreams.LoadSample
-
-
 class Heartbeat(Message, tag=13):
     """Checks a member and spreads membership and configuration.
 
@@ -284,7 +277,6 @@
     | Pong
     | Probe
     | ProbeReply
-    | StallNotice
     | Heartbeat
     | HeartbeatAck
     | IndirectProbe
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -66,9 +66,6 @@
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the time that a ping and its answer took."""
 
-    def on_stall(self, stalled: bool, now_ms: float) -> None:
-        """Record that the upstream has begun or ended to be slow."""
-
 
 class Peer:
     """One sidecar: its present connection and the attempts sent to it.
@@ -113,7 +110,6 @@
             messages.Running: self._on_running,
             messages.Pong: self._on_pong,
             messages.ProbeReply: self._on_probe_reply,
-            messages.StallNotice: self._on_stall_notice,
         }
 
     @property
@@ -328,10 +324,6 @@
     def _on_probe_reply(self, message: messages.ProbeReply) -> None:
         self._observer.on_sample(message.sample, self._clock())
 
-    def _on_stall_notice(self, message: messages.StallNotice) -> None:
-        self._observer.on_sample(message.sample, self._clock())
-        self._observer.on_stall(message.stalled, self._clock())
-
     def _take(self, session: int, sequence: int) -> Attempt | None:
         request_id = (session, sequence)
         attempt = self._sent.pop(request_id, None)
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -176,9 +176,3 @@
         state = self._routes.state(self._node_id)
         if state is not None:
             state.on_round_trip(round_trip_ms)
-
-    def on_stall(self, stalled: bool, now_ms: float) -> None:
-        """Record that the upstream has begun or ended to be slow."""
-        state = self._routes.state(self._node_id)
-        if state is not None:
-            state.on_stall(stalled, now_ms)
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -69,7 +69,6 @@
             state for state in candidates if state.member.node_id not in tried
         ]
         fresh = self._outside_silent_domains(fresh)
-        fresh = _not_stalled(fresh, now_ms)
         if not fresh:
             return Choice(None, verdict.Reason.NO_UPSTREAM)
         policy = self._policies[service.policy]
@@ -126,14 +125,6 @@
     return [state for state in ready if state.member.node_id not in excluded]
 
 
-def _not_stalled(
-    states: list[table.UpstreamState], now_ms: float
-) -> list[table.UpstreamState]:
-    """Return the upstreams that have not told of a stall, if any."""
-    others = [state for state in states if not state.is_stalled(now_ms)]
-    return others or states
-
-
 def _is_ready(state: table.UpstreamState) -> bool:
     member = state.member
     if member.status is not upstreams.Status.ALIVE:
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -18,9 +18,6 @@
 
 SERVER_ERROR_STATUS = 500
 
-# An upstream without requests cannot show that its stall is over.
-STALL_HOLD_MS = 150.0
-
 # Refusals that say nothing about the health of the upstream.
 _HARMLESS = frozenset(
     {
@@ -59,12 +56,10 @@
         'measured',
         'member',
         'outstanding',
-        'outstanding_wakes',
         'round_trip_ms',
         'sample',
         'sample_ms',
         'sent_since_sample',
-        'stalled_until_ms',
     )
 
     def __init__(self, member: upstreams.Member, round_trip_ms: float) -> None:
@@ -75,8 +70,6 @@
         self.sample_ms = 0.0
         self.sent_since_sample = 0
         self.outstanding: dict[int, float] = {}
-        self.outstanding_wakes: dict[int, typing.Callable[[], None]] = {}
-        self.stalled_until_ms = 0.0
         self.failure_rate = 0.0
         self.consecutive_failures = 0
         self.ejected_until_ms = 0.0
@@ -86,7 +79,6 @@
         """Take over a changed record; older samples may not apply."""
         if member.incarnation != self.member.incarnation:
             self.ejected_until_ms = 0.0
-            self.stalled_until_ms = 0.0
             self.sample = None
         elif member.phase is not self.member.phase:
             self.sample = None
@@ -110,29 +102,9 @@
         change_ms = round_trip_ms - self.round_trip_ms
         self.round_trip_ms += ROUND_TRIP_WEIGHT * change_ms
 
-    def on_stall(self, stalled: bool, now_ms: float) -> None:
-        """Record a stall and wake those who wait for answers."""
-        self.stalled_until_ms = now_ms + STALL_HOLD_MS if stalled else 0.0
-        if stalled:
-            for wake in list(self.outstanding_wakes.values()):
-                wake()
-
-    def on_sent(
-        self, token: int, now_ms: float, wake: typing.Callable[[], None]
-    ) -> None:
-        """Record the sending of an attempt.
-
-        Parameters
-        ----------
-        token : int
-            Names the attempt.
-        now_ms : float
-            Monotonic time.
-        wake : callable
-            Called when the upstream stalls before it has answered.
-        """
+    def on_sent(self, token: int, now_ms: float) -> None:
+        """Record the sending of an attempt."""
         self.outstanding[token] = now_ms
-        self.outstanding_wakes[token] = wake
         self.sent_since_sample += 1
 
     def on_result(
@@ -140,7 +112,6 @@
     ) -> bool:
         """Record the end of an attempt; True if it ejects the upstream."""
         self.outstanding.pop(token, None)
-        self.outstanding_wakes.pop(token, None)
         if result.reason in _HARMLESS:
             return False
         if not is_failure(result):
@@ -157,10 +128,6 @@
         """Return True while the upstream must not be chosen."""
         return now_ms < self.ejected_until_ms
 
-    def is_stalled(self, now_ms: float) -> bool:
-        """Return True for a short time after a notice of a stall."""
-        return now_ms < self.stalled_until_ms
-
     def own_oldest_ms(self, now_ms: float) -> float:
         """Return the age of this node's oldest attempt in progress."""
         if not self.outstanding:
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -78,12 +78,6 @@
             'Calls to the store by kind and result.',
             'kind result',
         )
-        self.stall_notices = self._counter(
-            'stall_notices', 'Notices of stalls sent to ingress nodes.', ''
-        )
-        self.stall_notice_bytes = self._counter(
-            'stall_notice_bytes', 'Bytes of notices of stalls.', ''
-        )
         self.ejections = self._counter(
             'ejections', 'Upstreams ejected from selection.', 'service'
         )
--- a/jasminebeam/upstreams/sidecar.py
+++ b/jasminebeam/upstreams/sidecar.py
@@ -9,7 +9,6 @@
 import typing
 
 from jasminebeam.admission import slots
-from jasminebeam.admission import stalls
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
 from jasminebeam.peering import messages
@@ -21,10 +20,7 @@
     from jasminebeam.telemetry import metrics
     from jasminebeam.upstreams import client
 
-# Requests whose service times are averaged before a stall is told.
-MIN_COMPLETED = 20
-
-Send = typing.Callable[[messages.Message], int | None]
+Send = typing.Callable[[messages.Message], object]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,8 +95,6 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._working = asyncio.Event()
-        self._stall = stalls.StallDetector()
-        self._listeners: stalls.Listeners[Send] = stalls.Listeners()
         self._handlers = {
             messages.Hello: self._on_hello,
             messages.Request: self._on_request,
@@ -146,18 +140,6 @@
             async with asyncio.timeout(timeout_s):
                 await self._working.wait()
 
-    def check_stall(self, now_ms: float) -> None:
-        """Tell the ingress nodes when a stall begins or ends."""
-        if self._slots.completed < MIN_COMPLETED:
-            return
-        if not self._stall.update(self._slots.service_ms(now_ms)):
-            return
-        notice = messages.StallNotice(self._stall.stalled, self.sample(now_ms))
-        for send in self._listeners.recent(now_ms):
-            size_bytes = send(notice)
-            self._counters.stall_notices.inc()
-            self._counters.stall_notice_bytes.inc(size_bytes or 0)
-
     @property
     def in_flight(self) -> int:
         """Number of requests at the upstream."""
@@ -232,7 +214,6 @@
         call = _call_from(message, now_ms)
         work = _Work(call, send, now_ms, max_wait_ms)
         self._work[request_id] = work
-        self._listeners.use(message.session, send, now_ms)
         self._idle.clear()
         self._working.set()
         self._admit(request_id, work, now_ms)
