Keep load state only for called services; repair tables without rumors

Change: records that come by repair are not spread again; routing state begins with the first use of a service; counts by status are kept, not counted; 16 revision queries at once.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,10 +15,12 @@
 import psutil
 import tabulate
 import uvloop
+import zmq
 
 from bench import fleet
 from bench import scrape
 from bench import sites
+from jasminebeam import clock
 from jasminebeam.configuration import directory
 from jasminebeam.membership import gossip
 from jasminebeam.membership import table as member_table
@@ -27,10 +29,16 @@
 from jasminebeam.model import upstreams
 from jasminebeam.peering import codec
 from jasminebeam.peering import messages
+from jasminebeam.peering import pool
+from jasminebeam.peering import server as peer_server
+from jasminebeam.peering import sockets
 from jasminebeam.retries import registry
 from jasminebeam.routing import policies
 from jasminebeam.routing import selection
 from jasminebeam.routing import table as routing_table
+from jasminebeam.telemetry import events
+from jasminebeam.telemetry import metrics
+from jasminebeam.upstreams import sidecar
 from jasminebeam import verdict
 
 OUTPUT = pathlib.Path('build/slopes')
@@ -239,7 +247,7 @@
             sample = upstreams.LoadSample(
                 1, 3, 0, 9, 5_000, 1_000, -1, upstreams.Phase.READY
             )
-            routes.state(record.node_id).on_sample(sample, 0.0)
+            routes.use(record.node_id).on_sample(sample, 0.0)
         chooser = selection.Selector(
             routes, policies.create_all(random.Random(1), 4)
         )
@@ -265,6 +273,80 @@
     return {'member_merge_us': found}
 
 
+class _InstantUpstream:
+    """Answers at once, so that only the inner hop is measured."""
+
+    async def run(
+        self, call: requests.Call, timeout_ms: float
+    ) -> verdict.Verdict:
+        return verdict.answered(requests.Answer(200, (), b''))
+
+    async def close(self) -> None:
+        pass
+
+
+class _Pair:
+    """A sidecar and an ingress side in this process, over TCP."""
+
+    def __init__(self) -> None:
+        counters = metrics.Metrics()
+        log = events.EventLog('slopes', counters)
+        self.context = zmq.Context()
+        address = f'127.0.0.1:{FIRST_PORT + 5}'
+        self.server = peer_server.PeerServer(
+            self.context, address, '', log, counters
+        )
+        own = sidecar.Sidecar(
+            1, sidecar.Limits(), counters, clock.monotonic_ms
+        )
+        own.attach(upstreams.Announcement('s', 1), _InstantUpstream())
+        kinds = (messages.Hello, messages.Request, messages.Ping)
+        self.server.route(
+            kinds, lambda message, send, size: own.handle(message, send)
+        )
+        routes = routing_table.RoutingTable(
+            routing_table.Place('me', 'domain-0', 'region-0')
+        )
+        transport = sockets.ZmqTransport(self.context, '127.0.0.1', None)
+        factory = pool.LinkFactory(transport, messages.Hello('me', 1))
+        self.peers = pool.PeerPool(
+            'me', factory, own, routes, clock.monotonic_ms, log, counters
+        )
+        self.address = address
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.peers.close()
+        self.server.close()
+        self.context.destroy(linger=0)
+
+
+async def measure_connections() -> dict[str, float]:
+    """Return memory of a connection and processor time of an inner hop."""
+    count, calls = 200, 3_000
+    pair = _Pair()
+    process = psutil.Process()
+    before = process.memory_info().rss
+    opened = [
+        pair.peers.peer(f'node-{index}', pair.address)
+        for index in range(count)
+    ]
+    for each in opened:
+        each.connect()
+    await asyncio.sleep(2.0)
+    connection_bytes = (process.memory_info().rss - before) / count
+    call = requests.Call('id', 's', 'GET', '/x', (), b'x' * 500, True, 1e15)
+    started_s = time.process_time()
+    for _ in range(calls):
+        await opened[0].submit(call, 1_000.0).future
+    taken_us = (time.process_time() - started_s) / calls * 1e6
+    pair.close()
+    return {
+        'connection_bytes_both_ends': connection_bytes,
+        'inner_hop_us_both_ends': taken_us,
+    }
+
+
 async def measure_process() -> dict[str, float]:
     """Return memory, processor time and control bytes of idle nodes."""
     started = fleet.Fleet(
@@ -316,6 +398,7 @@
         measure_ring,
     ):
         found.update(measure())
+    found.update(uvloop.run(measure_connections()))
     found.update(uvloop.run(measure_process()))
     OUTPUT.mkdir(parents=True, exist_ok=True)
     text = json.dumps(found, indent=2)
--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -220,7 +220,8 @@
             case messages.SyncPull():
                 self._on_sync_pull(message, effects)
             case messages.Sync():
-                self._merge_all(message.members, now_ms, effects)
+                # Repairs reach each node by its own comparison of digests.
+                self._merge_all(message.members, now_ms, effects, spread=False)
                 self._apply_all(message.revisions, effects)
         return effects
 
@@ -337,13 +338,15 @@
         records: typing.Iterable[upstreams.Member],
         now_ms: float,
         effects: Effects,
+        spread: bool = True,
     ) -> None:
         for member in records:
             if member.node_id == self.me.node_id:
                 self._refute(member, now_ms, effects)
             elif self.members.merge(member, now_ms):
                 effects.members.append(member)
-                self._spread(member)
+                if spread:
+                    self._spread(member)
 
     def _refute(
         self, member: upstreams.Member, now_ms: float, effects: Effects
--- a/jasminebeam/membership/table.py
+++ b/jasminebeam/membership/table.py
@@ -91,6 +91,9 @@
         self._digest = 0
         self._suspects: dict[str, float] = {}
         self._gone: dict[str, float] = {}
+        self._counts: collections.Counter[upstreams.Status] = (
+            collections.Counter()
+        )
         self.rings: dict[str, Ring] = collections.defaultdict(Ring)
         self.ring = Ring()
         self.region_rings: dict[str, Ring] = collections.defaultdict(Ring)
@@ -128,6 +131,7 @@
     def purge(self, node_id: str) -> None:
         """Forget a member that is dead or has left."""
         member = self._members.pop(node_id)
+        self._counts[member.status] -= 1
         self._gone.pop(node_id, None)
         self._suspects.pop(node_id, None)
         if member.status in _ACTIVE:
@@ -135,10 +139,7 @@
 
     def count_by_status(self) -> dict[upstreams.Status, int]:
         """Return the number of members of each status."""
-        counts = collections.Counter(
-            member.status for member in self._members.values()
-        )
-        return {status: counts[status] for status in upstreams.Status}
+        return {status: self._counts[status] for status in upstreams.Status}
 
     def active_in(self, failure_domain: str) -> int:
         """Return the number of live and suspected members of a domain."""
@@ -202,6 +203,9 @@
     ) -> None:
         if known is not None and known.status in _ACTIVE:
             self._unlink(known)
+        if known is not None:
+            self._counts[known.status] -= 1
+        self._counts[member.status] += 1
         self._members[member.node_id] = member
         self._suspects.pop(member.node_id, None)
         self._gone.pop(member.node_id, None)
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -19,7 +19,8 @@
     from jasminebeam.telemetry import metrics
 
 REVISION_QUERY_TIMEOUT_S = 1.0
-REVISION_QUERIES_PER_S = 200
+# Queries at once; each needs one of the bounded control connections.
+CONCURRENT_QUERIES = 16
 
 _EVENTS = {
     upstreams.Status.SUSPECT: events.Event.MEMBER_SUSPECTED,
@@ -153,8 +154,8 @@
             if member.status
             in (upstreams.Status.ALIVE, upstreams.Status.SUSPECT)
         ]
-        for start in range(0, len(members), REVISION_QUERIES_PER_S):
-            batch = members[start : start + REVISION_QUERIES_PER_S]
+        for start in range(0, len(members), CONCURRENT_QUERIES):
+            batch = members[start : start + CONCURRENT_QUERIES]
             found = await asyncio.gather(
                 *(self._ask(member, service) for member in batch)
             )
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -94,16 +94,14 @@
         repetition never moves to another upstream while its owner is
         away for a moment.
         """
-        by_id = {
-            state.member.node_id: state
-            for state in self._routes.all_of(service.name)
-        }
-        node_id = subset.owner(key, by_id)
+        members = self._routes.members_of(service.name)
+        node_id = subset.owner(key, members)
         if node_id is None:
             return Choice(None, verdict.Reason.NO_UPSTREAM)
-        if not _is_ready(by_id[node_id]):
+        state = self._routes.use(node_id)
+        if not _is_ready(state):
             return Choice(None, verdict.Reason.KEY_OWNER_UNAVAILABLE)
-        return Choice(by_id[node_id])
+        return Choice(state)
 
 
 def eligible(
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -172,6 +172,9 @@
 class RoutingTable:
     """The upstreams of each service, kept in step with membership.
 
+    Loads and failures are kept only for services that this node calls;
+    of all others it keeps no more than the member records.
+
     Parameters
     ----------
     place : Place
@@ -180,42 +183,59 @@
 
     def __init__(self, place: Place) -> None:
         self._place = place
+        self._members: dict[str, dict[str, upstreams.Member]] = {}
+        self._service_of: dict[str, str] = {}
         self._states: dict[str, UpstreamState] = {}
-        self._services: dict[str, dict[str, UpstreamState]] = {}
         self._subsets: dict[str, tuple[UpstreamState, ...]] = {}
         self.silent_domains: frozenset[str] = frozenset()
 
     def update(self, member: upstreams.Member) -> None:
         """Take over a changed member record."""
-        state = self._states.get(member.node_id)
         if member.status in (upstreams.Status.DEAD, upstreams.Status.LEFT):
             self.remove(member.node_id)
             return
-        if state is None:
-            first_ms = self._first_round_trip_ms(member)
-            state = UpstreamState(member, first_ms)
-            self._states[member.node_id] = state
-        else:
-            self._forget_service(state)
+        if self._service_of.get(member.node_id, '') != member.service:
+            self.remove(member.node_id)
+        state = self._states.get(member.node_id)
+        if state is not None:
             state.replace_member(member)
-        if member.service:
-            of_service = self._services.setdefault(member.service, {})
-            of_service[member.node_id] = state
+        if not member.service:
+            return
+        of_service = self._members.setdefault(member.service, {})
+        if member.node_id not in of_service:
             self._subsets.pop(member.service, None)
+        of_service[member.node_id] = member
+        self._service_of[member.node_id] = member.service
 
     def remove(self, node_id: str) -> None:
         """Forget a member."""
-        state = self._states.pop(node_id, None)
-        if state is not None:
-            self._forget_service(state)
+        self._states.pop(node_id, None)
+        service = self._service_of.pop(node_id, None)
+        if service is None:
+            return
+        self._subsets.pop(service, None)
+        del self._members[service][node_id]
+        if not self._members[service]:
+            del self._members[service]
 
     def state(self, node_id: str) -> UpstreamState | None:
-        """Return what is known of the upstream beside a node."""
+        """Return what is known of an upstream that this node uses."""
         return self._states.get(node_id)
 
-    def all_of(self, service: str) -> typing.Iterable[UpstreamState]:
-        """Return all known upstreams of a service."""
-        return self._services.get(service, {}).values()
+    def members_of(
+        self, service: str
+    ) -> typing.Mapping[str, upstreams.Member]:
+        """Return the records of all known upstreams of a service."""
+        return self._members.get(service, {})
+
+    def use(self, node_id: str) -> UpstreamState:
+        """Return the state of a known upstream, created at first use."""
+        state = self._states.get(node_id)
+        if state is None:
+            member = self._members[self._service_of[node_id]][node_id]
+            state = UpstreamState(member, self._first_round_trip_ms(member))
+            self._states[node_id] = state
+        return state
 
     def subset_of(
         self, service: str, subset_size: int
@@ -223,9 +243,9 @@
         """Return the upstreams of a service that this node uses."""
         known = self._subsets.get(service)
         if known is None:
-            members = self._services.get(service, {})
+            members = self._members.get(service, {})
             chosen = subset.choose(self._place.node_id, members, subset_size)
-            known = tuple(members[node_id] for node_id in chosen)
+            known = tuple(map(self.use, chosen))
             self._subsets[service] = known
         return known
 
@@ -233,16 +253,6 @@
         """Choose the subset anew, because the service has changed."""
         self._subsets.pop(service, None)
 
-    def _forget_service(self, state: UpstreamState) -> None:
-        service = state.member.service
-        of_service = self._services.get(service)
-        if of_service is None:
-            return
-        of_service.pop(state.member.node_id, None)
-        self._subsets.pop(service, None)
-        if not of_service:
-            del self._services[service]
-
     def _first_round_trip_ms(self, member: upstreams.Member) -> float:
         if member.failure_domain == self._place.failure_domain:
             return LOCAL_ROUND_TRIP_MS
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -123,7 +123,7 @@
 
 def _knows(member, count):
     """Return True if a node knows some ready upstreams of ``fees``."""
-    return len(list(member.routes.all_of('fees'))) == count
+    return len(member.routes.members_of('fees')) == count
 
 
 async def test_request_passes_two_nodes_and_runs_once(site):
--- a/tests/test_routing/test_selection.py
+++ b/tests/test_routing/test_selection.py
@@ -56,6 +56,7 @@
     created = table.RoutingTable(table.Place('me', 'a', 'r'))
     for name in 'abcd':
         created.update(_member(name))
+        created.use(name)
     return created
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -38,7 +38,7 @@
 def _prefer(world, name):
     """Make one upstream the cheapest choice."""
     for node_id in world.servers:
-        state = world.routes.state(node_id)
+        state = world.routes.use(node_id)
         state.round_trip_ms = 1.0 if node_id == name else 200.0
 
 
