--- a/jasminebeam/callers/dispatcher.py
+++ b/jasminebeam/callers/dispatcher.py
@@ -352,8 +352,8 @@
         known = self._budgets.get(service.name)
         if known is None or known.options != options:
             known = _ServiceBudgets(
-                budget.RatioBudget(service.retry_ratio, RETRY_BURST),
-                budget.RatioBudget(service.hedge_ratio, HEDGE_BURST),
+                _budget(service.retry_ratio, RETRY_BURST),
+                _budget(service.hedge_ratio, HEDGE_BURST),
                 budget.RatioBudget(REROUTE_RATIO, REROUTE_BURST),
                 quantile.QuantileEstimate(
                     service.hedge_quantile, FIRST_HEDGE_MS
@@ -362,3 +362,8 @@
             )
             self._budgets[service.name] = known
         return known
+
+
+def _budget(ratio: float, burst: float) -> budget.RatioBudget:
+    """Return a budget; a ratio of 0 allows nothing, not even a burst."""
+    return budget.RatioBudget(ratio, burst if ratio else 0.0)
--- /dev/null
+++ b/tests/test_callers/test_dispatcher.py
@@ -0,0 +1,67 @@
+"""Tests of the dispatcher's budgets on in-memory connections."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jasminebeam import verdict
+
+
+def _add_failing(world, count):
+    for number in range(count):
+        server = world.add(f'u{number}', slots=9)
+        server.upstream.behaviour = 'fail'
+
+
+def test_retries_stay_within_their_share(world):
+    """All upstreams fail: runs grow by the share and the burst only."""
+    _add_failing(world, 4)
+    for _ in range(300):
+        world.result(world.send(world.call('GET')))
+    runs = sum(
+        sum(server.upstream.runs.values()) for server in world.servers.values()
+    )
+    assert runs <= 300 * (1 + world.service.retry_ratio) + 10
+
+
+def test_ratio_of_zero_allows_no_retry_and_no_hedge(world):
+    """Not even the burst of a new budget."""
+    _add_failing(world, 2)
+    world.service = dataclasses.replace(
+        world.service, retry_ratio=0.0, hedge_ratio=0.0
+    )
+    for server in world.servers.values():
+        server.upstream.service_s = 0.5
+    for _ in range(5):
+        world.result(world.send(world.call('GET')))
+    runs = sum(
+        sum(server.upstream.runs.values()) for server in world.servers.values()
+    )
+    assert runs == 5
+
+
+def test_final_answer_is_not_retried_and_stays_marked(world):
+    """A node further down has used up its retries."""
+    _add_failing(world, 3)
+    result = world.result(world.send(world.call('GET')))
+    assert ('jasminebeam-final', '1') in result.answer.headers
+
+
+def test_no_upstream_is_not_run(world):
+    """Nothing was sent."""
+    result = world.result(world.send(world.call()))
+    assert result == verdict.not_run(verdict.Reason.NO_UPSTREAM)
+
+
+def test_key_of_an_owner_that_drains_goes_nowhere_else(world):
+    """The repetition of a key must not find another upstream."""
+    for number in range(3):
+        world.add(f'u{number}')
+    first = world.call(key='k', request_id='a')
+    world.result(world.send(first))
+    owner = next(s for s in world.servers.values() if s.upstream.runs['a'])
+    owner.sidecar.drain()
+    again = dataclasses.replace(first, deadline_ms=world.loop.now_ms() + 1e3)
+    result = world.result(world.send(again))
+    assert result.outcome is verdict.Outcome.NOT_RUN
+    assert world.runs('a') == 1
