Return a failure that ran instead of a later refusal

Cause: the experiment deep_calls counted 6 and 25 requests reported as not run that had run: an attempt was answered with 500, its retry was refused, and the refusal became the verdict. The mark that forbids retries further up was lost on the way, because the stand-in compared its name with case; the deepest service ran about 3.8 times per request. Change: the verdict of an attempt that ran goes before later refusals; the mark has its canonical name; the witness counts runs by service. Conclusion: deep_calls runs again with the count of the deepest service.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -71,6 +71,7 @@
         with tqdm.tqdm(
             total=DURATION_S,
             unit='s',
+            mininterval=0.5,
             bar_format='{l_bar}{bar}| {n:.0f}/{total:.0f} s',
         ) as bar:
             recorder = await traffic.run(
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -419,6 +419,11 @@
         latencies = sorted(seen.latency_us / 1_000 for seen in served)
         requests = len(observations)
         total_runs = sum(runs[seen.request_id] for seen in observations)
+        deepest = self._deepest_service()
+        deepest_runs = sum(
+            self.fleet.witness.runs_at(deepest, seen.request_id)
+            for seen in observations
+        )
         seconds = sum(part.recorder.wall_s for part in slices)
         return {
             'policy': name,
@@ -429,6 +434,7 @@
             'goodput_ratio': len(served) / (seconds * self.capacity_per_s()),
             'error_ratio': 1 - len(served) / requests,
             'runs_per_request': total_runs / requests,
+            'deepest_runs_per_request': deepest_runs / requests,
             'retries_per_request': sum(part.retries for part in slices)
             / requests,
             'probe_bytes_per_request': sum(part.probe_bytes for part in slices)
@@ -449,6 +455,13 @@
             'valid': all(part.recorder.valid() for part in slices),
         }
 
+    def _deepest_service(self) -> str:
+        calls = {service.name: service.calls for service in self.site.services}
+        name = self.plan.service
+        while calls[name]:
+            name = calls[name]
+        return name
+
     def _oracle(self) -> dict[str, float]:
         plan = self.plan
         latencies: list[float] = []
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -81,10 +81,19 @@
 
     def __init__(self) -> None:
         self.runs: collections.Counter[str] = collections.Counter()
+        self._by_service: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     def datagram_received(self, data: bytes, address: object) -> None:
         """Count one run."""
-        self.runs[data.decode()] += 1
+        service, _, request_id = data.decode().partition(' ')
+        self.runs[request_id] += 1
+        self._by_service[service, request_id] += 1
+
+    def runs_at(self, service: str, request_id: str) -> int:
+        """Return how often a request ran at the upstreams of a service."""
+        return self._by_service[service, request_id]
 
 
 class Fleet:
--- a/bench/report.py
+++ b/bench/report.py
@@ -18,6 +18,7 @@
     'goodput_ratio',
     'error_ratio',
     'runs_per_request',
+    'deepest_runs_per_request',
     'probe_bytes_per_request',
     'promises_broken',
     'generator_lag_p99_ms',
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -35,8 +35,8 @@
     seed : int
         Seed of the service times.
     witness_port : int
-        Loopback UDP port that is told the id of each request as it runs;
-        0 for none.
+        Loopback UDP port that is told the service and id of each request
+        as it runs; 0 for none.
     next_url, next_host : str
         Service that each request calls in turn; empty for none.
     """
@@ -189,7 +189,8 @@
         self.runs[request_id] += 1
         if self._options.witness_port:
             address = ('127.0.0.1', self._options.witness_port)
-            self._witness.sendto(request_id.encode(), address)
+            report = f'{self._options.service} {request_id}'
+            self._witness.sendto(report.encode(), address)
 
     async def _call_next(
         self, request: web.BaseRequest, request_id: str
@@ -211,7 +212,7 @@
             passed_on = {
                 name: value
                 for name, value in answer.headers.items()
-                if name == 'Jasminebeam-Final'
+                if name.lower() == 'jasminebeam-final'
             }
             return web.Response(
                 status=answer.status, body=body, headers=passed_on
--- a/jasminebeam/callers/dispatcher.py
+++ b/jasminebeam/callers/dispatcher.py
@@ -72,7 +72,7 @@
         dataclasses.field(default_factory=dict)
     )
     hedged: bool = False
-    may_have_run: verdict.Verdict | None = None
+    ran: verdict.Verdict | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,8 +156,8 @@
         while True:
             result = await self._next_result(progress)
             now_ms = self._clocks.monotonic_ms()
-            if result.outcome is verdict.Outcome.MAY_HAVE_RUN:
-                progress.may_have_run = result
+            if result.outcome is not verdict.Outcome.NOT_RUN:
+                progress.ran = result
             if result.outcome is verdict.Outcome.ANSWERED:
                 taken_ms = now_ms - progress.started_ms
                 progress.budgets.latency.add(taken_ms)
@@ -177,11 +177,8 @@
         self, progress: _Progress, result: verdict.Verdict
     ) -> verdict.Verdict:
         # An earlier attempt may have run even if the last one did not.
-        if (
-            result.outcome is verdict.Outcome.NOT_RUN
-            and progress.may_have_run is not None
-        ):
-            return progress.may_have_run
+        if result.outcome is verdict.Outcome.NOT_RUN and progress.ran:
+            result = progress.ran
         if result.answer is not None and table.is_failure(result):
             return verdict.answered(policy.mark_final(result.answer))
         return result
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -12,7 +12,7 @@
 if typing.TYPE_CHECKING:
     from jasminebeam.model import requests
 
-FINAL_HEADER = 'jasminebeam-final'
+FINAL_HEADER = 'Jasminebeam-Final'
 MAX_ATTEMPTS = 4
 BASE_DELAY_MS = 1.0
 
@@ -154,7 +154,8 @@
 
 def is_final(answer: requests.Answer) -> bool:
     """Return True if a node further down has used up its retries."""
-    return any(name.lower() == FINAL_HEADER for name, _ in answer.headers)
+    mark = FINAL_HEADER.lower()
+    return any(name.lower() == mark for name, _ in answer.headers)
 
 
 def mark_final(answer: requests.Answer) -> requests.Answer:
--- a/tests/test_callers/test_dispatcher.py
+++ b/tests/test_callers/test_dispatcher.py
@@ -44,7 +44,20 @@
     """A node further down has used up its retries."""
     _add_failing(world, 3)
     result = world.result(world.send(world.call('GET')))
-    assert ('jasminebeam-final', '1') in result.answer.headers
+    assert ('Jasminebeam-Final', '1') in result.answer.headers
+
+
+def test_refused_retry_does_not_hide_a_failure_that_ran(world):
+    """The first attempt ran and failed: the verdict is its answer."""
+    _add_failing(world, 1)
+    world.add('other').upstream.behaviour = 'shed'
+    world.routes.use('u0').round_trip_ms = 1.0
+    world.routes.use('other').round_trip_ms = 200.0
+    call = world.call('GET')
+    result = world.result(world.send(call))
+    assert world.runs(call.request_id) == 1
+    assert result.outcome is verdict.Outcome.ANSWERED
+    assert result.answer.status == 500
 
 
 def test_no_upstream_is_not_run(world):
