Keep reading after a faulty message; remember pings of far peers

Cause: an exception in a handler left the frames behind it unread until the next wakeup; a ping was forgotten after 100 ms, so that the round trip to a farther region was never measured. Conclusion: a peer of another version costs its own message only.

--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -17,6 +17,7 @@
     from jasminebeam.telemetry import metrics
 
 MAX_WAITING = 256
+MAX_PINGS = 16
 REVOKE_TIMEOUT_MS = 1_000.0
 RECONNECT_DELAY_MS = 50.0
 PURGE_AFTER_MS = 5_000.0
@@ -194,7 +195,9 @@
         connecting = self._link.state is links.LinkState.CONNECTING
         if ping or connecting or self.busy:
             self._nonce += 1
-            self._pings = {self._nonce: now_ms}
+            self._pings[self._nonce] = now_ms
+            if len(self._pings) > MAX_PINGS:
+                del self._pings[next(iter(self._pings))]
             self._link.tick(self._nonce)
 
     def close(self) -> None:
--- a/jasminebeam/peering/sockets.py
+++ b/jasminebeam/peering/sockets.py
@@ -5,12 +5,15 @@
 import asyncio
 import typing
 
+import logbook
 import zmq
 from zmq.utils import monitor
 
 if typing.TYPE_CHECKING:
     from jasminebeam.peering import security
 
+_logger = logbook.Logger(__name__)
+
 HIGH_WATER_MARK = 1_000
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 CONNECT_TIMEOUT_MS = 1_000
@@ -78,7 +81,11 @@
                 frames = self.socket.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            self._on_frames(frames)
+            try:
+                self._on_frames(frames)
+            except Exception:
+                # One faulty message must not stop those behind it.
+                _logger.exception('a message of a peer was not handled')
         self._schedule()
 
 
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -134,20 +134,19 @@
             'time': record.time.isoformat(timespec='milliseconds'),
             'level': record.level_name,
             'node': record.channel,
-            'event': record.extra['number'],
+            'event': record.extra.get('number', 0),
             'text': record.message,
-            **record.extra['fields'],
+            **record.extra.get('fields', {}),
         },
         default=str,
     )
 
 
 def _format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
-    fields = ' '.join(
-        f'{name}={value}' for name, value in record.extra['fields'].items()
-    )
+    given = record.extra.get('fields', {})
+    fields = ' '.join(f'{name}={value}' for name, value in given.items())
     return (
         f'{record.time.isoformat(timespec="milliseconds")} '
         f'{record.level_name} {record.channel} '
-        f'[{record.extra["number"]}] {record.message} {fields}'
+        f'[{record.extra.get("number", 0)}] {record.message} {fields}'
     ).rstrip()
