--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -223,6 +223,9 @@
             on_progress,
         )
         await faults
+        # Stopped processes cannot be scraped.
+        for host in self.fleet.hosts:
+            self.fleet.signal_host(host, signal.SIGCONT)
         after = await self._scrape()
         changes = [
             end - start for start, end in zip(before, after, strict=True)
@@ -378,8 +381,6 @@
         ]
 
     async def _heal(self) -> None:
-        for host in self.fleet.hosts:
-            self.fleet.signal_host(host, signal.SIGCONT)
         if self.plan.fault in ('bad_link', 'silent_link'):
             await self.fleet.set_network_faults(relay.NO_FAULTS)
         if self.plan.fault in ('none', 'bad_link', 'silent_link'):
