Send elsewhere what was never sent, without a retry

Change: attempts that were not connected, and hosts that are not ready, go elsewhere under the budget of rerouting. Figures: the new test of 40 calls beside a lost host fails without the change and passes with it. Conclusion: the retry budget is left to what reached an upstream.

--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -35,6 +35,9 @@
         verdict.Reason.DRAINING,
         verdict.Reason.STOPPING,
         verdict.Reason.REVOKED,
+        verdict.Reason.NOT_CONNECTED,
+        verdict.Reason.NOT_READY,
+        verdict.Reason.CONNECT_FAILED,
     }
 )
 
--- a/tests/test_callers/test_dispatcher.py
+++ b/tests/test_callers/test_dispatcher.py
@@ -60,6 +60,20 @@
     assert result.answer.status == 500
 
 
+def test_lost_hosts_do_not_use_up_the_retries(world):
+    """An attempt that was never sent goes elsewhere without a retry."""
+    world.add('well', slots=9)
+    lost = world.add('lost')
+    lost.faults.refuse = True
+    world.service = dataclasses.replace(world.service, retry_ratio=0.0)
+    for _ in range(40):
+        world.routes.use('lost').ejected_until_ms = 0.0
+        world.routes.use('lost').failure_rate = 0.0
+        result = world.result(world.send(world.call()))
+        assert result.outcome is verdict.Outcome.ANSWERED
+    assert world.count('retries', service='fees', reason='not_connected')
+
+
 def test_no_upstream_is_not_run(world):
     """Nothing was sent."""
     result = world.result(world.send(world.call()))
