Send no load probes unless operators ask for them

Cause: the cost of measuring had never been weighed against its worth. Change: probe_share is 0 by default. Conclusion: samples that ride on answers and refusals are worth more than probes here; the budgets stay for sites that see it otherwise.

--- a/jasminebeam/model/services.py
+++ b/jasminebeam/model/services.py
@@ -95,7 +95,7 @@
     hedge_quantile: float = 0.95
     probes_per_s: float = 4.0
     probe_bytes_per_s: float = 600.0
-    probe_share: float = 0.01
+    probe_share: float = 0.0
     max_ejected_ratio: float = 0.34
     subset_size: int = 16
     key_window_ms: int = 120_000
