--- a/jasminebeam/routing/scoring.py
+++ b/jasminebeam/routing/scoring.py
@@ -9,6 +9,10 @@
     from jasminebeam.routing import table
 
 
+# Tells upstreams with free slots apart by how busy they are.
+_BUSY_SHARE = 0.5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Weights:
     """Parameters of the cost.
@@ -106,10 +110,6 @@
     return state.round_trip_ms + service_ms + wait_ms + busy_ms + failure_ms
 
 
-# Keeps load apart from upstreams whose slots are not yet full.
-_BUSY_SHARE = 0.5
-
-
 def _stalled_ms(
     state: table.UpstreamState,
     service_ms: float,
