--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -149,8 +149,9 @@
         body = await self._read_body(request)
         call = self._call_from(request, service, body, started_ms)
         result = await self._dispatcher.dispatch(call, service)
-        size_bytes = _wire_bytes(call, result)
-        self._probes.on_request(service, size_bytes, started_ms)
+        if service.probe_share:
+            size_bytes = _wire_bytes(call, result)
+            self._probes.on_request(service, size_bytes, started_ms)
         taken_s = (self._clock() - started_ms) / 1_000
         self._counters.latency.labels(service.name).observe(taken_s)
         return _verdict_response(result)
--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -18,7 +18,6 @@
     from jasminebeam.configuration import directory
 
 MEMBER_BYTES = 120
-SHORT_MEMBER_BYTES = 60
 REVISION_BYTES = 700
 SYNC_CHUNK = 200
 SMALL_FLEET = 500
--- a/jasminebeam/model/requests.py
+++ b/jasminebeam/model/requests.py
@@ -6,6 +6,10 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+REQUEST_ID_HEADER = 'X-Request-Id'
+TIMEOUT_HEADER = 'Jasminebeam-Timeout-Ms'
+FINAL_HEADER = 'Jasminebeam-Final'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -12,8 +12,6 @@
 from jasminebeam.model import upstreams
 from jasminebeam import verdict
 
-REQUEST_ID_HEADER = 'X-Request-Id'
-TIMEOUT_HEADER = 'Jasminebeam-Timeout-Ms'
 
 _SKIPPED_HEADERS = ('User-Agent', 'Accept-Encoding', 'Accept', 'Content-Type')
 
@@ -97,8 +95,8 @@
     ) -> verdict.Verdict:
         headers = [
             *call.headers,
-            (REQUEST_ID_HEADER, call.request_id),
-            (TIMEOUT_HEADER, str(int(timeout_ms))),
+            (requests.REQUEST_ID_HEADER, call.request_id),
+            (requests.TIMEOUT_HEADER, str(int(timeout_ms))),
         ]
         async with self._session.request(
             call.method,
