Name the product's headers in one place

Change: callers and retries take them from jasminebeam.model.requests. Conclusion: no behaviour changes.

--- a/jasminebeam/callers/headers.py
+++ b/jasminebeam/callers/headers.py
@@ -4,15 +4,14 @@
 
 import typing
 
-if typing.TYPE_CHECKING:
-    from jasminebeam.model import requests
+from jasminebeam.model import requests
 
 IDEMPOTENCY_KEY = 'Idempotency-Key'
-REQUEST_ID = 'X-Request-Id'
-TIMEOUT_MS = 'Jasminebeam-Timeout-Ms'
+REQUEST_ID = requests.REQUEST_ID_HEADER
+TIMEOUT_MS = requests.TIMEOUT_HEADER
 VERDICT = 'Jasminebeam-Verdict'
 REASON = 'Jasminebeam-Reason'
-FINAL = 'Jasminebeam-Final'
+FINAL = requests.FINAL_HEADER
 
 _HOP_BY_HOP = frozenset(
     {
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -4,15 +4,11 @@
 
 import dataclasses
 import enum
-import typing
 
+from jasminebeam.model import requests
 from jasminebeam.routing import table
 from jasminebeam import verdict
 
-if typing.TYPE_CHECKING:
-    from jasminebeam.model import requests
-
-FINAL_HEADER = 'Jasminebeam-Final'
 MAX_ATTEMPTS = 4
 BASE_DELAY_MS = 1.0
 
@@ -157,7 +153,7 @@
 
 def is_final(answer: requests.Answer) -> bool:
     """Return True if a node further down has used up its retries."""
-    mark = FINAL_HEADER.lower()
+    mark = requests.FINAL_HEADER.lower()
     return any(name.lower() == mark for name, _ in answer.headers)
 
 
@@ -165,7 +161,7 @@
     """Return the answer with the mark that forbids retries further up."""
     if is_final(answer):
         return answer
-    marked = (*answer.headers, (FINAL_HEADER, '1'))
+    marked = (*answer.headers, (requests.FINAL_HEADER, '1'))
     return dataclasses.replace(answer, headers=marked)
 
 
