--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -38,7 +38,7 @@
 from jasminebeam.routing import table as routing_table
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
-from jasminebeam.upstreams import sidecar
+from jasminebeam.sidecar import sidecar
 from jasminebeam import verdict
 
 OUTPUT = pathlib.Path('build/slopes')
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -15,7 +15,7 @@
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
-    from jasminebeam.callers import dispatcher
+    from jasminebeam.ingress import dispatcher
     from jasminebeam.configuration import directory
     from jasminebeam.model import services
     from jasminebeam.routing import probing
--- a/jasminebeam/configuration/changes.py
+++ b/jasminebeam/configuration/changes.py
@@ -9,7 +9,7 @@
 
 from jasminebeam.configuration import validation
 from jasminebeam.model import services
-from jasminebeam.platform import store
+from jasminebeam.store import store
 
 SERVICES_PREFIX = '/jasminebeam/services/'
 KEPT_CHANGE_IDS = 8
--- a/jasminebeam/configuration/relay.py
+++ b/jasminebeam/configuration/relay.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from jasminebeam.configuration import changes
-from jasminebeam.platform import store
+from jasminebeam.store import store
 from jasminebeam.routing import subset
 from jasminebeam.telemetry import events
 
--- /dev/null
+++ b/jasminebeam/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Ingress role: carries requests of callers to upstreams."""
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -11,7 +11,7 @@
 from grpclib import server as grpc_server
 import zmq
 
-from jasminebeam.callers import dispatcher
+from jasminebeam.ingress import dispatcher
 from jasminebeam.callers import http
 from jasminebeam import clock
 from jasminebeam.configuration import changes
@@ -27,8 +27,8 @@
 from jasminebeam.peering import security
 from jasminebeam.peering import server as peer_server
 from jasminebeam.peering import sockets
-from jasminebeam.platform import etcd
-from jasminebeam.platform import none
+from jasminebeam.store import etcd
+from jasminebeam.store import none
 from jasminebeam.routing import policies
 from jasminebeam.routing import probing
 from jasminebeam.routing import selection
@@ -37,7 +37,7 @@
 from jasminebeam.telemetry import metrics
 from jasminebeam.upstreams import announcements
 from jasminebeam.upstreams import client
-from jasminebeam.upstreams import sidecar
+from jasminebeam.sidecar import sidecar
 
 if typing.TYPE_CHECKING:
     from jasminebeam.model import services
--- a/jasminebeam/peering/links.py
+++ b/jasminebeam/peering/links.py
@@ -10,7 +10,7 @@
 from jasminebeam.peering import messages
 
 if typing.TYPE_CHECKING:
-    from jasminebeam.upstreams import sidecar as sidecar_module
+    from jasminebeam.sidecar import sidecar as sidecar_module
 
 SILENT_TICKS = 4
 
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -14,7 +14,7 @@
     from jasminebeam.routing import table
     from jasminebeam.telemetry import events
     from jasminebeam.telemetry import metrics
-    from jasminebeam.upstreams import sidecar
+    from jasminebeam.sidecar import sidecar
 
 IDLE_PING_MS = 5_000.0
 IDLE_CLOSE_MS = 120_000.0
--- a/jasminebeam/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Access to the platform's key-value store."""
--- /dev/null
+++ b/jasminebeam/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Sidecar role: the only way in to the upstream beside a node."""
--- /dev/null
+++ b/jasminebeam/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value store and its adapters."""
--- a/jasminebeam/platform/etcd.py
+++ b/jasminebeam/store/etcd.py
@@ -9,7 +9,7 @@
 import aiohttp
 from returns import result
 
-from jasminebeam.platform import store
+from jasminebeam.store import store
 
 if typing.TYPE_CHECKING:
     from jasminebeam.telemetry import metrics
--- a/jasminebeam/platform/none.py
+++ b/jasminebeam/store/none.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from jasminebeam.platform import store
+from jasminebeam.store import store
 
 _UNAVAILABLE = result.Failure(store.StoreError.UNAVAILABLE)
 
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -7,7 +7,7 @@
 
 from returns import result
 
-from jasminebeam.platform import store
+from jasminebeam.store import store
 
 UNAVAILABLE = result.Failure(store.StoreError.UNAVAILABLE)
 
--- a/tests/test_platform/test_etcd.py
+++ b/tests/test_store/test_etcd.py
@@ -10,8 +10,8 @@
 from bench.standins import store as stand_in
 from jasminebeam.configuration import changes
 from jasminebeam.model import services
-from jasminebeam.platform import etcd
-from jasminebeam.platform import store
+from jasminebeam.store import etcd
+from jasminebeam.store import store
 from jasminebeam.telemetry import metrics
 from tests import ports
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,7 +8,7 @@
 import random
 import typing
 
-from jasminebeam.callers import dispatcher
+from jasminebeam.ingress import dispatcher
 from jasminebeam.model import requests
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
@@ -20,7 +20,7 @@
 from jasminebeam.routing import table
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
-from jasminebeam.upstreams import sidecar
+from jasminebeam.sidecar import sidecar
 from jasminebeam import verdict
 from tests import virtual
 
