--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,6 +22,7 @@
 from bench import sites
 from jasminebeam import clock
 from jasminebeam.configuration import directory
+from jasminebeam.configuration import routes
 from jasminebeam.membership import gossip
 from jasminebeam.membership import table as member_table
 from jasminebeam.model import requests
@@ -36,9 +37,9 @@
 from jasminebeam.routing import policies
 from jasminebeam.routing import selection
 from jasminebeam.routing import table as routing_table
+from jasminebeam.sidecar import sidecar
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
-from jasminebeam.sidecar import sidecar
 from jasminebeam import verdict
 
 OUTPUT = pathlib.Path('build/slopes')
@@ -84,6 +85,7 @@
     state = gossip.Gossip(
         member(0),
         directory.ServiceDirectory(),
+        routes.RouteDirectory(random.Random(1)),
         (),
         random.Random(1),
         gossip.Options(),
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -157,6 +157,12 @@
                 return True
         return False
 
+    def withdraw_all(self) -> tuple[object, ...]:
+        """Remove and return all queued requests."""
+        waiting = tuple(entry.ticket for entry in self._queue)
+        self._queue.clear()
+        return waiting
+
     def expired(self, now_ms: float) -> tuple[object, ...]:
         """Remove and return the queued requests past their deadline."""
         late = tuple(
--- /dev/null
+++ b/jasminebeam/callers/dialect.py
@@ -0,0 +1,203 @@
+"""How requests and verdicts look on the wire of callers."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import typing
+import uuid
+
+from aiohttp import web
+
+from jasminebeam.callers import headers
+from jasminebeam.model import requests
+from jasminebeam import verdict
+
+MAX_KEY_CHARS = 200
+MAX_REQUEST_ID_CHARS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """Content of a problem document.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    title, detail : str
+        Short and full description.
+    """
+
+    status: int
+    title: str
+    detail: str
+
+
+class ProblemError(Exception):
+    """A caller's mistake, answered with a problem document."""
+
+    def __init__(self, status: int, title: str, detail: str) -> None:
+        super().__init__(title)
+        self.problem = Problem(status, title, detail)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inbound:
+    """What a caller's header says of its request.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier that is passed on.
+    time_left_ms : float or None
+        Time that the caller waits; None if it does not say.
+    key : str
+        Idempotency key; empty if there is none.
+    headers : Headers
+        Headers that are passed on.
+    """
+
+    request_id: str
+    time_left_ms: float | None
+    key: str
+    headers: requests.Headers
+
+
+class CallerDialect(typing.Protocol):
+    """Translates between callers' HTTP and calls and verdicts."""
+
+    def read(self, request: web.BaseRequest) -> Inbound:
+        """Return what the header says.
+
+        Raises
+        ------
+        ProblemError
+            If it is malformed.
+        """
+
+    def write_problem(self, problem: Problem) -> web.Response:
+        """Return the answer to a caller's mistake."""
+
+    def write_verdict(
+        self, result: verdict.Verdict, retry_after_ms: float
+    ) -> web.Response:
+        """Return the answer that tells a verdict.
+
+        Parameters
+        ----------
+        result : Verdict
+            The verdict.
+        retry_after_ms : float
+            When the caller should come back, if it did not run.
+        """
+
+
+class OwnDialect:
+    """Headers of the product's own interface towards callers."""
+
+    _STATUS = {
+        verdict.Outcome.NOT_RUN: 503,
+        verdict.Outcome.MAY_HAVE_RUN: 504,
+    }
+    _STATUS_BY_REASON = {
+        verdict.Reason.KEY_CONFLICT: 422,
+        verdict.Reason.KEY_BUSY: 409,
+        verdict.Reason.UPSTREAM_DISCONNECTED: 502,
+        verdict.Reason.SIDECAR_LOST: 502,
+        verdict.Reason.ANSWER_TOO_LARGE: 502,
+        verdict.Reason.ANSWER_TRUNCATED: 502,
+        verdict.Reason.WRONG_ANSWER: 502,
+    }
+
+    def read(self, request: web.BaseRequest) -> Inbound:
+        """Return what the header says."""
+        passed_on = headers.end_to_end(request.headers.items())
+        if not request.raw_path.isascii() or not headers.is_text(passed_on):
+            raise ProblemError(
+                400, 'invalid characters', 'target or header is not text'
+            )
+        return Inbound(
+            _request_id(request),
+            _time_left_ms(request),
+            _key(request),
+            passed_on,
+        )
+
+    def write_problem(self, problem: Problem) -> web.Response:
+        """Return a problem document."""
+        document = {
+            'type': 'about:blank',
+            'status': problem.status,
+            'title': problem.title,
+            'detail': problem.detail,
+        }
+        return web.Response(
+            status=problem.status,
+            body=json.dumps(document).encode(),
+            content_type='application/problem+json',
+        )
+
+    def write_verdict(
+        self, result: verdict.Verdict, retry_after_ms: float
+    ) -> web.Response:
+        """Return the upstream's answer, or a problem document."""
+        if result.answer is not None:
+            answer = result.answer
+            response = web.Response(status=answer.status, body=answer.body)
+            for name, value in headers.end_to_end(answer.headers):
+                response.headers.add(name, value)
+            response.headers[headers.VERDICT] = result.outcome.value
+            return response
+        status = self._STATUS_BY_REASON.get(
+            result.reason, self._STATUS[result.outcome]
+        )
+        problem = Problem(status, result.outcome.value, result.reason.value)
+        response = self.write_problem(problem)
+        response.headers[headers.VERDICT] = result.outcome.value
+        response.headers[headers.REASON] = result.reason.value
+        response.headers[headers.FINAL] = '1'
+        return response
+
+
+def _time_left_ms(request: web.BaseRequest) -> float | None:
+    text = request.headers.get(headers.TIMEOUT_MS)
+    if text is None:
+        return None
+    try:
+        timeout_ms = int(text)
+    except ValueError:
+        timeout_ms = 0
+    if timeout_ms <= 0:
+        raise ProblemError(
+            400,
+            'invalid timeout',
+            f'{headers.TIMEOUT_MS} must be a positive whole number of ms',
+        )
+    return timeout_ms
+
+
+def _request_id(request: web.BaseRequest) -> str:
+    text = request.headers.get(headers.REQUEST_ID)
+    if text is None:
+        return uuid.uuid4().hex
+    if not text.isascii() or len(text) > MAX_REQUEST_ID_CHARS:
+        raise ProblemError(
+            400,
+            'invalid request id',
+            f'{headers.REQUEST_ID} must have at most '
+            f'{MAX_REQUEST_ID_CHARS} ASCII characters',
+        )
+    return text
+
+
+def _key(request: web.BaseRequest) -> str:
+    key = request.headers.get(headers.IDEMPOTENCY_KEY, '')
+    if len(key) > MAX_KEY_CHARS:
+        raise ProblemError(
+            400,
+            'invalid idempotency key',
+            f'{headers.IDEMPOTENCY_KEY} must have at most '
+            f'{MAX_KEY_CHARS} characters',
+        )
+    return key
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -3,64 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import json
 import typing
-import uuid
 
 from aiohttp import web
 
-from jasminebeam.callers import headers
+from jasminebeam.callers import connections
+from jasminebeam.callers import dialect as dialect_module
+from jasminebeam.ingress import backoff
 from jasminebeam.model import requests
+from jasminebeam.model import routes
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
+    import random
+
     from jasminebeam.ingress import dispatcher
-    from jasminebeam.configuration import directory
-    from jasminebeam.model import services
     from jasminebeam.routing import probing
     from jasminebeam.telemetry import metrics
 
-MAX_KEY_CHARS = 200
-MAX_REQUEST_ID_CHARS = 200
-DRAIN_GRACE_S = 1.0
-
-_STATUS = {
-    verdict.Outcome.NOT_RUN: 503,
-    verdict.Outcome.MAY_HAVE_RUN: 504,
-}
-_STATUS_BY_REASON = {
-    verdict.Reason.KEY_CONFLICT: 422,
-    verdict.Reason.KEY_BUSY: 409,
-    verdict.Reason.UPSTREAM_DISCONNECTED: 502,
-    verdict.Reason.SIDECAR_LOST: 502,
-    verdict.Reason.ANSWER_TOO_LARGE: 502,
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """Content of a problem document.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    title, detail : str
-        Short and full description.
-    """
-
-    status: int
-    title: str
-    detail: str
-
-
-class ProblemError(Exception):
-    """A caller's mistake, answered with a problem document."""
-
-    def __init__(self, status: int, title: str, detail: str) -> None:
-        super().__init__(title)
-        self.problem = Problem(status, title, detail)
+# New connections that wait to be accepted; a burst of all callers fits.
+BACKLOG = 1_024
+STOP_POLL_S = 0.01
 
 
 class CallerServer:
@@ -68,34 +31,42 @@
 
     Parameters
     ----------
-    matcher : ServiceDirectory
+    matcher : Matcher
         Matches requests to services.
     dispatch : Dispatcher
         Carries the requests.
     probes : ProbePlanner
         Told which services are in use.
-    max_body_bytes : int
-        Largest request body.
+    dialect : CallerDialect
+        Translates requests and verdicts.
+    limits : CallerLimits
+        Bounds where the matcher gives none.
     clock : callable
         Returns the monotonic time in ms.
+    generator : random.Random
+        Spreads the callers' return.
     counters : Metrics
         Counts latencies and refused requests.
     """
 
     def __init__(
         self,
-        matcher: directory.ServiceDirectory,
+        matcher: routes.Matcher,
         dispatch: dispatcher.Dispatcher,
         probes: probing.ProbePlanner,
-        max_body_bytes: int,
+        dialect: dialect_module.CallerDialect,
+        limits: routes.CallerLimits,
         clock: typing.Callable[[], float],
+        generator: random.Random,
         counters: metrics.Metrics,
     ) -> None:
         self._matcher = matcher
         self._dispatcher = dispatch
         self._probes = probes
-        self._max_body_bytes = max_body_bytes
+        self._dialect = dialect
+        self._own_limits = limits
         self._clock = clock
+        self._generator = generator
         self._counters = counters
         self._runner: web.ServerRunner | None = None
         self._open = 0
@@ -103,38 +74,42 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers."""
-        server = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            auto_decompress=False,
-            access_log=None,
-        )
+        server = connections.LimitedServer(self._handle, self._limits)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port)
+        site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
         await site.start()
 
-    async def stop(self) -> None:
+    async def stop(self, grace_s: float) -> None:
         """Answer what is in progress, then stop listening.
 
         Kept-alive connections are told to close with their next answer.
+
+        Parameters
+        ----------
+        grace_s : float
+            Time for which new requests are still taken, so that callers
+            can turn to other nodes.
         """
         self._stopping = True
-        await asyncio.sleep(DRAIN_GRACE_S)
+        await asyncio.sleep(grace_s)
         for site in list(self._runner.sites):
             await site.stop()
         while self._open:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(STOP_POLL_S)
         await self._runner.cleanup()
 
+    def _limits(self) -> routes.CallerLimits:
+        return self._matcher.limits or self._own_limits
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._open += 1
         try:
             response = await self._respond(request)
-        except ProblemError as error:
+        except dialect_module.ProblemError as error:
             status = str(error.problem.status)
             self._counters.caller_errors.labels(status).inc()
-            response = _problem_response(error.problem)
+            response = self._dialect.write_problem(error.problem)
         finally:
             self._open -= 1
         if self._stopping:
@@ -143,105 +118,78 @@
 
     async def _respond(self, request: web.BaseRequest) -> web.Response:
         started_ms = self._clock()
-        service = self._matcher.match(request.host, request.path)
-        if service is None:
-            raise ProblemError(404, 'no such service', 'no service matches')
+        match = self._matcher.route(request.host, request.method, request.path)
+        if match is None:
+            return self._refuse_unmatched()
         body = await self._read_body(request)
-        call = self._call_from(request, service, body, started_ms)
-        result = await self._dispatcher.dispatch(call, service)
-        if service.probe_share:
+        call = self._call_from(request, match, body, started_ms)
+        result = await self._dispatcher.dispatch(call, match.service)
+        if match.service.probe_share:
             size_bytes = _wire_bytes(call, result)
-            self._probes.on_request(service, size_bytes, started_ms)
-        taken_s = (self._clock() - started_ms) / 1_000
-        self._counters.latency.labels(service.name).observe(taken_s)
-        return _verdict_response(result)
+            self._probes.on_request(match.service, size_bytes, started_ms)
+        now_ms = self._clock()
+        taken_s = (now_ms - started_ms) / 1_000
+        self._counters.latency.labels(match.service.name).observe(taken_s)
+        retry_after_ms = backoff.retry_after_ms(
+            call.deadline_ms - now_ms, self._generator.random()
+        )
+        return self._dialect.write_verdict(result, retry_after_ms)
+
+    def _refuse_unmatched(self) -> web.Response:
+        if not self._matcher.revision:
+            result = verdict.not_run(verdict.Reason.NO_CONFIGURATION)
+            retry_after_ms = backoff.FIRST_CONFIGURATION_MS
+            return self._dialect.write_verdict(result, retry_after_ms)
+        raise dialect_module.ProblemError(
+            404, 'no such service', 'no route matches'
+        )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         if not request.body_exists:
             return b''
-        limit_bytes = self._max_body_bytes
+        limit_bytes = self._limits().body_bytes
         length = request.content_length
         if length is not None and length > limit_bytes:
-            raise ProblemError(
-                413, 'body too large', f'at most {limit_bytes} bytes'
-            )
+            raise _too_large(limit_bytes)
         body = bytearray()
         async for chunk in request.content.iter_any():
             body += chunk
             if len(body) > limit_bytes:
-                raise ProblemError(
-                    413, 'body too large', f'at most {limit_bytes} bytes'
-                )
+                raise _too_large(limit_bytes)
         return bytes(body)
 
     def _call_from(
         self,
         request: web.BaseRequest,
-        service: services.Service,
+        match: routes.RouteMatch,
         body: bytes,
-        now_ms: float,
+        started_ms: float,
     ) -> requests.Call:
-        passed_on = headers.end_to_end(request.headers.items())
-        if not request.raw_path.isascii() or not headers.is_text(passed_on):
-            raise ProblemError(
-                400, 'invalid characters', 'target or header is not text'
-            )
-        idempotent = service.is_idempotent(request.method, request.path)
-        timeout_ms = _timeout_ms(request, service.timeout_ms)
+        inbound = self._dialect.read(request)
+        timeout_ms: float = match.timeout_ms
+        if inbound.time_left_ms is not None:
+            timeout_ms = min(timeout_ms, inbound.time_left_ms)
+        objective_ms = match.objective_ms or timeout_ms
         return requests.Call(
-            request_id=_request_id(request),
-            service=service.name,
+            request_id=inbound.request_id,
+            service=match.service.name,
             method=request.method,
             target=request.raw_path,
-            headers=passed_on,
+            headers=inbound.headers,
             body=body,
-            idempotent=idempotent,
-            deadline_ms=now_ms + timeout_ms,
-            key='' if idempotent else _key(request),
-        )
-
-
-def _timeout_ms(request: web.BaseRequest, service_ms: int) -> float:
-    text = request.headers.get(headers.TIMEOUT_MS)
-    if text is None:
-        return service_ms
-    try:
-        timeout_ms = int(text)
-    except ValueError:
-        timeout_ms = 0
-    if timeout_ms <= 0:
-        raise ProblemError(
-            400,
-            'invalid timeout',
-            f'{headers.TIMEOUT_MS} must be a positive whole number of ms',
+            idempotent=match.idempotent,
+            deadline_ms=started_ms + timeout_ms,
+            key='' if match.idempotent else inbound.key,
+            max_attempts=match.max_attempts,
+            objective_ms=started_ms + objective_ms,
+            priority=match.priority,
         )
-    return min(timeout_ms, service_ms)
 
 
-def _request_id(request: web.BaseRequest) -> str:
-    text = request.headers.get(headers.REQUEST_ID)
-    if text is None:
-        return uuid.uuid4().hex
-    if not text.isascii() or len(text) > MAX_REQUEST_ID_CHARS:
-        raise ProblemError(
-            400,
-            'invalid request id',
-            f'{headers.REQUEST_ID} must have at most '
-            f'{MAX_REQUEST_ID_CHARS} ASCII characters',
-        )
-    return text
-
-
-def _key(request: web.BaseRequest) -> str:
-    key = request.headers.get(headers.IDEMPOTENCY_KEY, '')
-    if len(key) > MAX_KEY_CHARS:
-        raise ProblemError(
-            400,
-            'invalid idempotency key',
-            f'{headers.IDEMPOTENCY_KEY} must have at most '
-            f'{MAX_KEY_CHARS} characters',
-        )
-    return key
+def _too_large(limit_bytes: int) -> dialect_module.ProblemError:
+    return dialect_module.ProblemError(
+        413, 'body too large', f'at most {limit_bytes} bytes'
+    )
 
 
 def _wire_bytes(call: requests.Call, result: verdict.Verdict) -> int:
@@ -256,34 +204,3 @@
 
 def _header_bytes(pairs: requests.Headers) -> int:
     return sum(len(name) + len(value) for name, value in pairs)
-
-
-def _verdict_response(result: verdict.Verdict) -> web.Response:
-    if result.answer is not None:
-        answer = result.answer
-        response = web.Response(status=answer.status, body=answer.body)
-        for name, value in headers.end_to_end(answer.headers):
-            response.headers.add(name, value)
-        response.headers[headers.VERDICT] = result.outcome.value
-        return response
-    status = _STATUS_BY_REASON.get(result.reason, _STATUS[result.outcome])
-    problem = Problem(status, result.outcome.value, result.reason.value)
-    response = _problem_response(problem)
-    response.headers[headers.VERDICT] = result.outcome.value
-    response.headers[headers.REASON] = result.reason.value
-    response.headers[headers.FINAL] = '1'
-    return response
-
-
-def _problem_response(problem: Problem) -> web.Response:
-    document = {
-        'type': 'about:blank',
-        'status': problem.status,
-        'title': problem.title,
-        'detail': problem.detail,
-    }
-    return web.Response(
-        status=problem.status,
-        body=json.dumps(document).encode(),
-        content_type='application/problem+json',
-    )
--- a/jasminebeam/configuration/directory.py
+++ b/jasminebeam/configuration/directory.py
@@ -5,6 +5,7 @@
 import typing
 
 from jasminebeam import hashing
+from jasminebeam.model import routes
 from jasminebeam.model import services
 import msgspec
 
@@ -73,6 +74,30 @@
                 best = service
         return best
 
+    @property
+    def revision(self) -> int:
+        """Highest revision in force; 0 if there is none."""
+        return self.highest
+
+    @property
+    def limits(self) -> None:
+        """Nothing: the settings bound what callers send."""
+
+    def route(
+        self, host: str, method: str, path: str
+    ) -> routes.RouteMatch | None:
+        """Return how a request is carried; None if no service matches."""
+        service = self.match(host, path)
+        if service is None:
+            return None
+        return routes.RouteMatch(
+            route=service.name,
+            revision=self.revision_of(service.name),
+            service=service,
+            idempotent=service.is_idempotent(method, path),
+            timeout_ms=service.timeout_ms,
+        )
+
     @property
     def digest(self) -> int:
         """64-bit digest of all revisions in force."""
--- a/jasminebeam/configuration/relay.py
+++ b/jasminebeam/configuration/relay.py
@@ -11,8 +11,8 @@
 from returns import result
 
 from jasminebeam.configuration import changes
-from jasminebeam.store import store
 from jasminebeam.routing import subset
+from jasminebeam.store import store
 from jasminebeam.telemetry import events
 
 if typing.TYPE_CHECKING:
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -179,7 +179,7 @@
         # An earlier attempt may have run even if the last one did not.
         if result.outcome is verdict.Outcome.NOT_RUN and progress.ran:
             result = progress.ran
-        if result.answer is not None and table.is_failure(result):
+        if result.answer is not None and verdict.is_failure(result):
             return verdict.answered(policy.mark_final(result.answer))
         return result
 
--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -10,12 +10,14 @@
 from jasminebeam.membership import domains
 from jasminebeam.membership import rumors
 from jasminebeam.membership import table
+from jasminebeam.model import routes
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 from jasminebeam.peering import messages
 
 if typing.TYPE_CHECKING:
     from jasminebeam.configuration import directory
+    from jasminebeam.configuration import routes as routes_module
 
 MEMBER_BYTES = 120
 REVISION_BYTES = 700
@@ -79,6 +81,8 @@
         Changed records.
     revisions : list of ServiceRevision
         Revisions that have come into force.
+    route_set : RouteSet or None
+        Route set that has come into force.
     refuted : bool
         True if this node has refuted a record about itself.
     silent, back : frozenset of str
@@ -91,6 +95,7 @@
     revisions: list[services.ServiceRevision] = dataclasses.field(
         default_factory=list
     )
+    route_set: routes.RouteSet | None = None
     refuted: bool = False
     silent: frozenset[str] = frozenset()
     back: frozenset[str] = frozenset()
@@ -105,6 +110,8 @@
         This node's first record.
     services_in_force : ServiceDirectory
         Revisions in force; received revisions are applied to it.
+    routes_in_force : RouteDirectory
+        Route set in force; received sets are applied to it.
     seeds : sequence of str
         Peer addresses that are asked while no other member is known.
     generator : random.Random
@@ -117,6 +124,7 @@
         self,
         me: upstreams.Member,
         services_in_force: directory.ServiceDirectory,
+        routes_in_force: routes_module.RouteDirectory,
         seeds: typing.Sequence[str],
         generator: random.Random,
         options: Options,
@@ -133,6 +141,7 @@
             rumors.RumorQueue(options.max_rumors)
         )
         self._directory = services_in_force
+        self._routes = routes_in_force
         self._generator = generator
         self._options = options
         self._detector = detector.FailureDetector(me, options.interval_ms)
@@ -163,10 +172,14 @@
         return self.push()
 
     def join(self) -> Effects:
-        """Return the messages that ask the seeds for their tables."""
+        """Return the messages that ask all seeds for their tables."""
+        return self.join_by(self.seeds)
+
+    def join_by(self, addresses: typing.Iterable[str]) -> Effects:
+        """Return the messages that ask some peers for their tables."""
         effects = Effects()
         own = self.me.address
-        for address in self.seeds:
+        for address in addresses:
             if address != own:
                 request = self._sync_request(with_config=True)
                 effects.outgoing.append(Outgoing(address, request))
@@ -182,6 +195,12 @@
             self._push(self._push_targets(), effects)
         return effects
 
+    def adopt_routes(self, new: routes.RouteSet) -> Effects:
+        """Put a route set in force and tell partners of it at once."""
+        effects = Effects()
+        self._apply_routes(new, effects)
+        return effects
+
     def tick(self, now_ms: float) -> Effects:
         """Start a round: heartbeats, suspicions, deaths and repairs."""
         effects = Effects()
@@ -222,6 +241,8 @@
                 # Repairs reach each node by its own comparison of digests.
                 self._merge_all(message.members, now_ms, effects, spread=False)
                 self._apply_all(message.revisions, effects)
+            case _:
+                self._on_routes_message(message, effects)
         return effects
 
     def _on_heartbeat(
@@ -259,6 +280,8 @@
         self._apply_all(message.revisions, effects)
         if effects.revisions:
             self._push(self._push_targets(), effects)
+        if message.routes_revision > self._routes.revision:
+            effects.replies.append(messages.RoutesQuery(self._routes.revision))
         self._repair(message, effects)
 
     def _repair(
@@ -301,6 +324,7 @@
         effects: Effects,
     ) -> None:
         self._merge_all((message.sender,), now_ms, effects)
+        self._offer_routes(message.routes_revision, effects)
         groups = self.members.differing_groups(message.member_groups)
         if groups:
             buckets = tuple(map(self.members.buckets_of, groups))
@@ -485,14 +509,35 @@
             self._directory.digest,
             tuple(members),
             tuple(revisions),
+            self._routes.revision,
         )
 
     def _sync_request(self, with_config: bool) -> messages.SyncRequest:
         config_buckets = self._directory.buckets if with_config else ()
         return messages.SyncRequest(
-            self.me, self.members.groups, config_buckets
+            self.me,
+            self.members.groups,
+            config_buckets,
+            self._routes.revision,
         )
 
+    def _on_routes_message(
+        self, message: messages.Message, effects: Effects
+    ) -> None:
+        if isinstance(message, messages.RoutesQuery):
+            self._offer_routes(message.revision, effects)
+        elif isinstance(message, messages.RoutesReply):
+            self._apply_routes(message.route_set, effects)
+
+    def _offer_routes(self, known_revision: int, effects: Effects) -> None:
+        if self._routes.revision > known_revision:
+            effects.replies.append(messages.RoutesReply(self._routes.current))
+
+    def _apply_routes(self, new: routes.RouteSet, effects: Effects) -> None:
+        if self._routes.apply(new):
+            effects.route_set = new
+            self._push(self._push_targets(), effects)
+
     def _apply_all(
         self,
         revisions: typing.Iterable[services.ServiceRevision],
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -14,6 +14,7 @@
 
 if typing.TYPE_CHECKING:
     from jasminebeam.configuration import directory
+    from jasminebeam.model import routes
     from jasminebeam.model import services
     from jasminebeam.peering import control
     from jasminebeam.telemetry import metrics
@@ -42,6 +43,8 @@
         Receives each changed member record.
     on_revision : callable
         Receives each revision that has come into force.
+    on_routes : callable
+        Receives each route set that has come into force.
     on_silent : callable
         Receives the set of silent failure domains when it changes.
     clock : callable
@@ -56,6 +59,7 @@
         matcher: directory.ServiceDirectory,
         on_member: typing.Callable[[upstreams.Member], None],
         on_revision: typing.Callable[[services.ServiceRevision], None],
+        on_routes: typing.Callable[[routes.RouteSet], None],
         on_silent: typing.Callable[[frozenset[str]], None],
         clock: typing.Callable[[], float],
         log: events.EventLog,
@@ -65,6 +69,7 @@
         self._matcher = matcher
         self._on_member = on_member
         self._on_revision = on_revision
+        self._on_routes = on_routes
         self._on_silent = on_silent
         self._clock = clock
         self._log = log
@@ -90,6 +95,16 @@
         """Take the connections into use."""
         self._links = links
 
+    @property
+    def alone(self) -> bool:
+        """True while no other member is known."""
+        return len(self._state.members) == 1
+
+    def join(self, seeds: typing.Sequence[str]) -> None:
+        """Ask these peers for their tables."""
+        self.add_seeds(seeds)
+        self._apply(self._state.join_by(seeds))
+
     def add_seeds(self, addresses: typing.Iterable[str]) -> None:
         """Ask these peers as well while no member is known."""
         known = self._state.seeds
@@ -104,6 +119,10 @@
         """Put a revision in force and push it to partners."""
         self._apply(self._state.adopt(revision, self._clock()))
 
+    def adopt_routes(self, new: routes.RouteSet) -> None:
+        """Put a route set in force and tell partners of it."""
+        self._apply(self._state.adopt_routes(new))
+
     def leave(self) -> None:
         """Tell partners that this node leaves."""
         self._apply(self._state.leave(self._clock()))
@@ -204,6 +223,8 @@
             self._on_member(member)
         for revision in effects.revisions:
             self._on_revision(revision)
+        if effects.route_set is not None:
+            self._on_routes(effects.route_set)
         if effects.refuted:
             version = self.me.version
             self._log.write(events.Event.SELF_REFUTED, version=version)
--- a/jasminebeam/model/requests.py
+++ b/jasminebeam/model/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -33,6 +34,12 @@
         Monotonic instant in ms after which no answer is wanted.
     key : str
         Value of the ``Idempotency-Key`` header, or the empty string.
+    max_attempts : int
+        Most upstreams that the request may be handed to.
+    objective_ms : float
+        Monotonic instant until which an answer has its full value.
+    priority : int
+        Rank under overload; 0 is served first.
     """
 
     request_id: str
@@ -44,6 +51,9 @@
     idempotent: bool
     deadline_ms: float
     key: str = ''
+    max_attempts: int = 4
+    objective_ms: float = math.inf
+    priority: int = 255
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jasminebeam/model/upstreams.py
+++ b/jasminebeam/model/upstreams.py
@@ -45,6 +45,10 @@
         Header that must accompany the status; empty if none is needed.
     load_path : str
         Path of the load report; empty if there is none.
+    host : str
+        Address of the upstream's HTTP server.
+    upstream_id : str
+        Identity that goes with each hand-over; empty if there is none.
     """
 
     service: str
@@ -55,6 +59,48 @@
     shed_status: int = 0
     shed_header: str = ''
     load_path: str = ''
+    host: str = '127.0.0.1'
+    upstream_id: str = ''
+
+
+USUAL_SLOWNESS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that an upstream tells of itself.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Requests that it works on, that wait, and that fit at once.
+    slowness : float
+        How long work takes at this moment as a multiple of the usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = USUAL_SLOWNESS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Health:
+    """Result of one health check.
+
+    Parameters
+    ----------
+    healthy : bool
+        True if the upstream takes work by its own account.
+    upstream_id : str
+        Identity of the upstream that answered; empty if it told none.
+    report : LoadReport or None
+        Load, if it came along.
+    """
+
+    healthy: bool
+    upstream_id: str = ''
+    report: LoadReport | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -5,42 +5,39 @@
 import asyncio
 import random
 import secrets
-import ssl
 import typing
 
-from grpclib import server as grpc_server
 import zmq
 
-from jasminebeam.ingress import dispatcher
 from jasminebeam.callers import http
 from jasminebeam import clock
-from jasminebeam.configuration import changes
 from jasminebeam.configuration import directory
 from jasminebeam.configuration import relay
+from jasminebeam.configuration import routes as route_sets
+from jasminebeam import edges as edges_module
+from jasminebeam.ingress import dispatcher
 from jasminebeam.membership import gossip
 from jasminebeam.membership import task as membership_task
+from jasminebeam.model import routes as routes_model
 from jasminebeam.model import upstreams
-from jasminebeam.operators import service as operators_service
 from jasminebeam.peering import control
 from jasminebeam.peering import messages
 from jasminebeam.peering import pool
-from jasminebeam.peering import security
 from jasminebeam.peering import server as peer_server
 from jasminebeam.peering import sockets
-from jasminebeam.store import etcd
-from jasminebeam.store import none
 from jasminebeam.routing import policies
 from jasminebeam.routing import probing
 from jasminebeam.routing import selection
 from jasminebeam.routing import table
+from jasminebeam.sidecar import sidecar
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
-from jasminebeam.upstreams import announcements
 from jasminebeam.upstreams import client
-from jasminebeam.sidecar import sidecar
+from jasminebeam.upstreams import lifecycle
 
 if typing.TYPE_CHECKING:
     from jasminebeam.model import services
+    from jasminebeam.peering import security
     from jasminebeam import settings as settings_module
 
 PROBE_TICK_S = 0.1
@@ -67,6 +64,8 @@
     ----------
     settings : Settings
         Checked settings.
+    edges : Edges or None
+        What the node meets outside; the product's own interfaces if None.
 
     Notes
     -----
@@ -74,17 +73,24 @@
     both on its own event loop.
     """
 
-    def __init__(self, settings: settings_module.Settings) -> None:
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        edges: edges_module.Edges | None = None,
+    ) -> None:
         self._settings = settings
+        self._edges = edges or edges_module.OwnEdges(settings)
         place = settings.node
         self.metrics = metrics.Metrics()
         self.log = events.EventLog(place.node_id, self.metrics)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._generator = random.Random(secrets.randbits(64))
+        self.generator = random.Random(secrets.randbits(64))
         self._context = zmq.Context()
         boot_id = secrets.randbits(62)
         self._hello = messages.Hello(place.node_id, boot_id)
         self.services = directory.ServiceDirectory()
+        self.route_sets = route_sets.RouteDirectory(self.generator)
+        self.upstream_life = lifecycle.UpstreamLife()
         self.routes = table.RoutingTable(
             table.Place(place.node_id, place.failure_domain, place.region)
         )
@@ -99,8 +105,9 @@
         self._gossip = gossip.Gossip(
             self._first_record(),
             self.services,
+            self.route_sets,
             settings.peering.seeds.split(),
-            self._generator,
+            self.generator,
             self._gossip_options,
         )
         self.membership = membership_task.MembershipTask(
@@ -108,6 +115,7 @@
             self.services,
             self.routes.update,
             self._on_revision,
+            self._on_routes,
             self._on_silent,
             clock.monotonic_ms,
             self.log,
@@ -115,23 +123,27 @@
         )
         self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
         self.metrics.queued.set_function(lambda: self.sidecar.queued)
-        self._announcements = announcements.AnnouncementServer(
-            self, self.metrics
-        )
+        self._servers: list[edges_module.Server] = []
         self._stopping = False
+        self._upstream_reachable = True
 
     async def start(self) -> None:
         """Open all sockets and start the tasks."""
         settings = self._settings
         self._start_peering()
         self._start_ingress()
-        await self._announcements.start(settings.upstream.announce_port)
-        await self._start_platform()
-        await self._start_operators()
-        await self._callers.start(settings.node.host, settings.callers.port)
+        self._store = self._edges.create_store(self.metrics)
+        self._servers = self._edges.create_servers(self)
+        for server in self._servers:
+            await server.start()
+        for task in self._edges.create_tasks(self, self._store):
+            self._spawn(task)
+        await self._callers.start(
+            settings.callers.host or settings.node.host, settings.callers.port
+        )
         self._spawn(
             self.membership.run(
-                self._gossip_options.interval_ms, self._generator
+                self._gossip_options.interval_ms, self.generator
             )
         )
         self._spawn(self._tick_peers())
@@ -157,7 +169,9 @@
         timeout_s = self._settings.node.stop_timeout_ms / 1_000
         try:
             async with asyncio.timeout(timeout_s):
-                await self._callers.stop()
+                await self._callers.stop(
+                    self._settings.callers.stop_grace_ms / 1_000
+                )
                 await self.sidecar.wait_idle()
         except TimeoutError:
             pass
@@ -169,7 +183,10 @@
     def announce_upstream(self, announcement: upstreams.Announcement) -> None:
         """Take the upstream beside the node into service."""
         upstream_client = client.HttpUpstreamClient(
-            announcement, self._settings.upstream.max_answer_bytes
+            announcement,
+            self._settings.upstream.max_answer_bytes,
+            self._edges.upstream_dialect,
+            self.sidecar.on_report,
         )
         former = self.sidecar.attach(announcement, upstream_client)
         if former is not None:
@@ -188,6 +205,60 @@
             slots=announcement.slots,
         )
 
+    @property
+    def ready(self) -> bool:
+        """True while the node should get callers' requests."""
+        return not self._stopping and self.route_sets.revision > 0
+
+    def on_heartbeat(self, beat: lifecycle.Heartbeat) -> None:
+        """Act on a heartbeat of the upstream beside the node."""
+        self._follow(self.upstream_life.on_heartbeat(beat))
+
+    def on_upstream_leave(self, upstream_id: str, started_ms: int) -> None:
+        """Act on the upstream's notice that it leaves."""
+        self._follow(self.upstream_life.on_leave(upstream_id, started_ms))
+
+    async def check_upstream(self) -> None:
+        """Ask the upstream beside the node how it is, and who."""
+        health = await self.sidecar.check()
+        announcement = self.sidecar.announcement
+        if announcement is not None and announcement.load_path:
+            self._note_reachable(health is not None)
+        life = self.upstream_life
+        if health is None or not health.upstream_id or life.current is None:
+            return
+        known = life.current.announcement
+        if health.upstream_id == known.upstream_id:
+            return
+        self._follow(life.on_other_identity())
+        if health.healthy:
+            self._follow(life.on_identity(health.upstream_id, known))
+
+    def _note_reachable(self, reachable: bool) -> None:
+        if reachable == self._upstream_reachable:
+            return
+        self._upstream_reachable = reachable
+        event = (
+            events.Event.UPSTREAM_FOUND
+            if reachable
+            else events.Event.UPSTREAM_LOST
+        )
+        self.log.write(event, service=self.sidecar.announcement.service)
+
+    def _follow(self, step: lifecycle.Step) -> None:
+        current = self.upstream_life.current
+        if step is lifecycle.Step.ATTACH:
+            self.announce_upstream(current.announcement)
+        elif step is lifecycle.Step.DRAIN:
+            if self.sidecar.announcement is None:
+                self.announce_upstream(current.announcement)
+            self.drain_upstream()
+        elif step is lifecycle.Step.DETACH:
+            self.sidecar.detach()
+            self.membership.publish(phase=upstreams.Phase.ABSENT)
+            self.routes.update(self.membership.me)
+            self.log.write(events.Event.UPSTREAM_DETACHED)
+
     def drain_upstream(self) -> int:
         """Stop new work and return the requests still in progress."""
         self.sidecar.drain()
@@ -212,12 +283,7 @@
 
     def _start_peering(self) -> None:
         peering = self._settings.peering
-        keys = None
-        if peering.secret_key:
-            keys = security.ClientKeys(
-                peering.public_key, peering.secret_key, peering.server_key
-            )
-            self._start_authenticator()
+        keys = self._start_authenticator() if peering.secret_key else None
         self._server = peer_server.PeerServer(
             self._context,
             f'{self._settings.node.host}:{peering.port}',
@@ -240,13 +306,20 @@
         self._server.route(_DATA_KINDS, self._on_data)
         self._server.route(messages.CONTROL_TYPES, self.membership.receive)
 
-    def _start_authenticator(self) -> None:
+    def _start_authenticator(self) -> security.ClientKeys:
+        # Plain connections do without these modules.
+        from jasminebeam.peering import security
+
         self._authenticator = security.Authenticator(
             self._context,
             frozenset(self._settings.peering.allowed_keys.split()),
             self._on_key_refused,
         )
         self._authenticator.start()
+        peering = self._settings.peering
+        return security.ClientKeys(
+            peering.public_key, peering.secret_key, peering.server_key
+        )
 
     def _start_ingress(self) -> None:
         self.pool = pool.PeerPool(
@@ -258,88 +331,30 @@
             self.log,
             self.metrics,
         )
-        by_name = policies.create_all(self._generator, POLICY_CHOICES)
+        by_name = policies.create_all(self.generator, POLICY_CHOICES)
         self.dispatcher = dispatcher.Dispatcher(
             selection.Selector(self.routes, by_name),
             self.pool,
-            self._generator,
+            self.generator,
             dispatcher.Clocks(clock.monotonic_ms, clock.wall_ms),
             self.log,
             self.metrics,
         )
         self._callers = http.CallerServer(
-            self.services,
+            self._edges.matcher(self),
             self.dispatcher,
             self.probes,
-            self._settings.callers.max_body_bytes,
-            clock.monotonic_ms,
-            self.metrics,
-        )
-
-    async def _start_platform(self) -> None:
-        platform = self._settings.platform
-        if platform.endpoint:
-            self._store = etcd.EtcdStore(
-                platform.endpoint, platform.timeout_ms, self.metrics
-            )
-        else:
-            self._store = none.NoStore()
-        place = self._settings.node
-        self._relay = relay.Relay(
-            self._store,
-            relay.Options(
-                place.failure_domain,
-                self.membership.me.address,
-                platform.relays_per_domain,
-                platform.lease_s,
+            self._edges.caller_dialect,
+            routes_model.CallerLimits(
+                body_bytes=self._settings.callers.max_body_bytes
             ),
-            self._is_relay_candidate,
-            self.membership.adopt,
-            self._generator,
-            self.log,
-        )
-        if platform.endpoint:
-            self._spawn(self._bootstrap())
-            self._spawn(self._relay.run())
-
-    async def _start_operators(self) -> None:
-        operators = self._settings.operators
-        handler = operators_service.OperatorsService(
-            changes.ServiceEditor(self._store),
-            self.services,
-            self.membership,
-            self.routes,
-            self,
-            self.log,
             clock.monotonic_ms,
+            self.generator,
+            self.metrics,
         )
-        self._operators = grpc_server.Server([handler])
-        await self._operators.start(
-            self._settings.node.host, operators.port, ssl=self._tls()
-        )
-
-    def _tls(self) -> ssl.SSLContext | None:
-        operators = self._settings.operators
-        if not operators.tls_certificate:
-            return None
-        context = ssl.create_default_context(
-            ssl.Purpose.CLIENT_AUTH, cafile=operators.tls_client_ca
-        )
-        context.verify_mode = ssl.CERT_REQUIRED
-        context.load_cert_chain(operators.tls_certificate, operators.tls_key)
-        context.set_alpn_protocols(['h2'])
-        return context
 
-    async def _bootstrap(self) -> None:
-        """Learn seeds and services from the store, once."""
-        while True:
-            seeds = await relay.read_seeds(self._store)
-            self.membership.add_seeds(seeds)
-            if await self._relay.load_all():
-                return
-            await asyncio.sleep(relay.RETRY_MAX_S * self._generator.random())
-
-    def _is_relay_candidate(self) -> bool:
+    def is_relay_candidate(self) -> bool:
+        """Tell whether this node is one of its domain's relays."""
         me = self.membership.me
         chosen = relay.candidates(
             me,
@@ -366,6 +381,16 @@
             change_id=revision.change_id,
         )
 
+    def _on_routes(self, new: routes_model.RouteSet) -> None:
+        for service in new.services:
+            self.routes.invalidate(service.name)
+        self.metrics.config_revision.set(new.revision)
+        self.log.write(
+            events.Event.ROUTES_APPLIED,
+            revision=new.revision,
+            routes=len(new.routes),
+        )
+
     def _on_silent(self, domains: frozenset[str]) -> None:
         self.routes.silent_domains = domains
 
@@ -413,7 +438,7 @@
         interval_s = self._settings.upstream.load_interval_ms / 1_000
         while True:
             await asyncio.sleep(interval_s)
-            await self.sidecar.read_load()
+            await self.check_upstream()
 
     async def _close_former(self, former: client.UpstreamClient) -> None:
         await self.sidecar.wait_idle()
@@ -423,9 +448,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._operators.close()
-        await self._operators.wait_closed()
-        await self._announcements.stop()
+        for server in self._servers:
+            await server.stop()
         await self._store.close()
         self.pool.close()
         self._control.close()
--- a/jasminebeam/peering/control.py
+++ b/jasminebeam/peering/control.py
@@ -15,9 +15,14 @@
 MAX_LINKS = 32
 MAX_UNANSWERED = 2
 
-# Transfers of tables to nodes that join; not part of the steady budget.
+# Transfers of whole tables and route sets; not part of the steady budget.
 BULK_BYTES_PER_S = 1_000_000.0
-_BULK = (messages.Sync, messages.SyncDetail, messages.SyncPull)
+_BULK = (
+    messages.Sync,
+    messages.SyncDetail,
+    messages.SyncPull,
+    messages.RoutesReply,
+)
 
 
 class ControlLinks:
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from jasminebeam.model import requests
+from jasminebeam.model import routes
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 
@@ -49,7 +50,8 @@
         Time until the deadline, counted from the sending.
     max_wait_us : int
         Longest predicted wait for a slot that the sender accepts.
-    request_id, service, method, target, headers, body, idempotent, key
+    request_id, service, method, target, headers, body, idempotent, key, \
+priority
         As in `jasminebeam.model.requests.Call`.
     """
 
@@ -66,6 +68,7 @@
     body: bytes
     idempotent: bool
     key: str
+    priority: int = 255
 
 
 class Reply(Message, tag=4):
@@ -160,6 +163,8 @@
         Recent changes of membership.
     revisions : tuple of ServiceRevision
         Recent changes of configuration.
+    routes_revision : int
+        Revision of the sender's route set; 0 if it has none.
     """
 
     nonce: int
@@ -168,6 +173,7 @@
     config_digest: int
     members: tuple[upstreams.Member, ...] = ()
     revisions: tuple[services.ServiceRevision, ...] = ()
+    routes_revision: int = 0
 
 
 class HeartbeatAck(Message, tag=14):
@@ -179,6 +185,7 @@
     config_digest: int
     members: tuple[upstreams.Member, ...] = ()
     revisions: tuple[services.ServiceRevision, ...] = ()
+    routes_revision: int = 0
 
 
 class IndirectProbe(Message, tag=15):
@@ -214,11 +221,14 @@
     config_buckets : tuple of int
         Digests of the sender's service table by bucket; empty if it is
         not to be compared.
+    routes_revision : int
+        Revision of the sender's route set; 0 if it has none.
     """
 
     sender: upstreams.Member
     member_groups: tuple[int, ...]
     config_buckets: tuple[int, ...]
+    routes_revision: int = 0
 
 
 class SyncDetail(Message, tag=18):
@@ -264,6 +274,18 @@
     revision: int
 
 
+class RoutesQuery(Message, tag=23):
+    """Asks for the route set, if its revision is higher than the named."""
+
+    revision: int
+
+
+class RoutesReply(Message, tag=24):
+    """Carries the sender's route set."""
+
+    route_set: routes.RouteSet
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -287,6 +309,8 @@
     | Sync
     | RevisionQuery
     | RevisionReply
+    | RoutesQuery
+    | RoutesReply
 )
 
 CONTROL_TYPES = (
@@ -300,4 +324,6 @@
     Sync,
     RevisionQuery,
     RevisionReply,
+    RoutesQuery,
+    RoutesReply,
 )
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -258,6 +258,7 @@
                 body=call.body,
                 idempotent=call.idempotent,
                 key=call.key,
+                priority=call.priority,
             )
         )
         if not sent_bytes:
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -12,9 +12,9 @@
 
 if typing.TYPE_CHECKING:
     from jasminebeam.routing import table
+    from jasminebeam.sidecar import sidecar
     from jasminebeam.telemetry import events
     from jasminebeam.telemetry import metrics
-    from jasminebeam.sidecar import sidecar
 
 IDLE_PING_MS = 5_000.0
 IDLE_CLOSE_MS = 120_000.0
--- /dev/null
+++ b/jasminebeam/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter between the users' platform and the product."""
--- /dev/null
+++ b/jasminebeam/platform/callers.py
@@ -0,0 +1,116 @@
+"""Callers' requests and verdicts as the platform writes them."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from aiohttp import web
+
+from jasminebeam.callers import dialect
+from jasminebeam.callers import headers
+from jasminebeam.platform import wire
+from jasminebeam import verdict
+
+MAX_REQUEST_ID_CHARS = 200
+
+# What the system sets itself, whatever a caller has sent.
+_OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (wire.CALLER, wire.UPSTREAM_ID, wire.TIME_LEFT, 'Expect')
+)
+
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+_UNAVAILABLE = 503
+_TIMEOUTS = frozenset(
+    {
+        verdict.Reason.DEADLINE,
+        verdict.Reason.UPSTREAM_TIMEOUT,
+        verdict.Reason.SILENT_CONNECTION,
+    }
+)
+
+
+class PlatformCallers:
+    """Translates between callers' HTTP and calls and verdicts.
+
+    Parameters
+    ----------
+    service : callable
+        Returns the service of the upstream on this host.
+    """
+
+    def __init__(self, service: typing.Callable[[], str]) -> None:
+        self._service = service
+
+    def read(self, request: web.BaseRequest) -> dialect.Inbound:
+        """Return what the header says."""
+        request_id = request.headers.get(wire.REQUEST_ID, '')
+        if not request_id or len(request_id) > MAX_REQUEST_ID_CHARS:
+            raise dialect.ProblemError(
+                400, 'invalid request id', f'{wire.REQUEST_ID} is required'
+            )
+        passed_on = tuple(
+            (name, value)
+            for name, value in headers.end_to_end(request.headers.items())
+            if name.lower() not in _OWN_HEADERS
+        )
+        if not request.raw_path.isascii() or not headers.is_text(passed_on):
+            raise dialect.ProblemError(
+                400, 'invalid characters', 'target or header is not text'
+            )
+        return dialect.Inbound(
+            request_id,
+            _time_left_ms(request),
+            '',
+            (*passed_on, (wire.CALLER, self._service())),
+        )
+
+    def write_problem(self, problem: dialect.Problem) -> web.Response:
+        """Return the answer to a caller's mistake."""
+        return web.json_response(
+            {'error': f'{problem.title}: {problem.detail}'},
+            status=problem.status,
+        )
+
+    def write_verdict(
+        self, result: verdict.Verdict, retry_after_ms: float
+    ) -> web.Response:
+        """Return the upstream's answer, or what became of the request."""
+        if result.answer is not None:
+            answer = result.answer
+            response = web.Response(status=answer.status, body=answer.body)
+            for name, value in headers.end_to_end(answer.headers):
+                response.headers.add(name, value)
+            return response
+        response = web.json_response(
+            {'error': result.reason.value}, status=_status(result)
+        )
+        if result.outcome is verdict.Outcome.NOT_RUN:
+            response.headers[wire.RETRY_AFTER] = f'{retry_after_ms / 1e3:.3f}'
+        return response
+
+
+def _status(result: verdict.Verdict) -> int:
+    """Return the status; only a proven *not run* gets one that says so."""
+    if result.outcome is verdict.Outcome.NOT_RUN:
+        return _UNAVAILABLE
+    if result.reason in _TIMEOUTS:
+        return _GATEWAY_TIMEOUT
+    return _BAD_GATEWAY
+
+
+def _time_left_ms(request: web.BaseRequest) -> float | None:
+    text = request.headers.get(wire.TIME_LEFT)
+    if text is None:
+        return None
+    try:
+        time_left_ms = float(text)
+    except ValueError:
+        time_left_ms = math.nan
+    if not 0 < time_left_ms < math.inf:
+        raise dialect.ProblemError(
+            400, 'invalid time left', f'{wire.TIME_LEFT} must be positive'
+        )
+    return time_left_ms
--- /dev/null
+++ b/jasminebeam/platform/edges.py
@@ -0,0 +1,103 @@
+"""The platform as the outside of a node."""
+
+from __future__ import annotations
+
+import typing
+
+from jasminebeam.configuration import watcher
+from jasminebeam import edges
+from jasminebeam.platform import callers
+from jasminebeam.platform import configuration
+from jasminebeam.platform import servers
+from jasminebeam.platform import settings
+from jasminebeam.platform import store
+from jasminebeam.platform import upstreams
+from jasminebeam.platform import wire
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import routes
+    from jasminebeam import node as node_module
+    from jasminebeam.store import store as store_module
+    from jasminebeam.telemetry import metrics
+
+SEED_LEASE_S = 10
+
+# Shares of a service's requests that may be sent a second time. The users
+# allow 0.2 in all over a window; a repeat's own calls count as well.
+BUDGETS = {
+    'retry_ratio': 0.08,
+    'hedge_ratio': 0.05,
+    'hedge_quantile': 0.95,
+}
+
+
+class PlatformEdges:
+    """Translates between the platform and a node.
+
+    Parameters
+    ----------
+    loaded : PlatformSettings
+        Checked settings.
+    """
+
+    upstream_dialect = upstreams.PlatformUpstreams()
+
+    def __init__(self, loaded: settings.PlatformSettings) -> None:
+        self._settings = loaded
+        self.caller_dialect = callers.PlatformCallers(self._service)
+
+    def matcher(self, node: node_module.Node) -> routes.Matcher:
+        """Return the route set in force."""
+        return node.route_sets
+
+    def create_store(self, counters: metrics.Metrics) -> store_module.Store:
+        """Return the platform's store."""
+        adapter = self._settings.adapter
+        return store.PlatformStore(
+            adapter.store, adapter.store_timeout_ms, counters
+        )
+
+    def create_servers(self, node: node_module.Node) -> list[edges.Server]:
+        """Return the servers beside the one for callers."""
+        adapter = self._settings.adapter
+        host = self._settings.node.node.host
+        return [
+            servers.HttpServer(
+                settings.parse_address(adapter.announcements),
+                servers.Heartbeats(node).routes,
+            ),
+            servers.HttpServer(
+                settings.parse_address(adapter.readiness),
+                [servers.readiness(node)],
+            ),
+            servers.HttpServer(
+                settings.Address(host, adapter.metrics_port),
+                [servers.metrics(node)],
+            ),
+        ]
+
+    def create_tasks(
+        self, node: node_module.Node, backend: store_module.Store
+    ) -> list[edges.Task]:
+        """Return the watch and the registration as a seed."""
+        me = node.membership.me
+        source = watcher.Watcher(
+            backend,
+            watcher.Options(
+                wire.CONFIGURATION_KEY, me.node_id, me.address, SEED_LEASE_S
+            ),
+            configuration.Decoder(BUDGETS).decode,
+            node.is_relay_candidate,
+            node.membership.adopt_routes,
+            node.membership,
+            node.generator,
+            node.log,
+        )
+        return [source.watch(), source.keep_seed()]
+
+    def replace(self, loaded: settings.PlatformSettings) -> None:
+        """Put changed settings in force where that needs no restart."""
+        self._settings = loaded
+
+    def _service(self) -> str:
+        return self._settings.adapter.service
--- /dev/null
+++ b/jasminebeam/platform/settings.py
@@ -0,0 +1,124 @@
+"""Settings file on the platform: the product's sections and one more."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import io
+import pathlib
+
+import msgspec
+from returns import result
+
+from jasminebeam import settings
+
+SECTION = 'adapter'
+
+
+class AdapterSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Addresses and names that only the adapter needs.
+
+    Parameters
+    ----------
+    callers, readiness, announcements : str
+        ``host:port`` on which the node listens for callers, for readiness
+        checks and for the upstream's heartbeats.
+    metrics_port : int
+        Port on which metrics are served.
+    upstream : str
+        ``host:port`` of the upstream beside the node.
+    service : str
+        Service of that upstream; names the caller of what starts here.
+    store : str
+        ``host:port`` of the platform's store.
+    store_timeout_ms : int
+        Longest time of one call to the store.
+    """
+
+    callers: str
+    readiness: str
+    announcements: str
+    metrics_port: settings.Port
+    upstream: str
+    service: str
+    store: str
+    store_timeout_ms: settings.Milliseconds = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """The product's settings and the adapter's."""
+
+    node: settings.Settings
+    adapter: AdapterSection
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+def parse_address(text: str) -> Address:
+    """Return the parts of ``host:port``.
+
+    Raises
+    ------
+    ValueError
+        If the text has another form.
+
+    Examples
+    --------
+    >>> parse_address('10.1.0.41:8624')
+    Address(host='10.1.0.41', port=8624)
+    """
+    host, separator, port = text.rpartition(':')
+    if not separator or not host:
+        raise ValueError(f'{text!r} is not host:port')
+    return Address(host, int(port))
+
+
+def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
+    """Return the settings of a file, or what is wrong with it."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return result.Failure(f'{path}: {error.strerror}')
+    return parse(text)
+
+
+def parse(text: str) -> result.Result[PlatformSettings, str]:
+    """Return the settings of an INI text, or what is wrong with it."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return result.Failure(str(error).replace('\n', ' '))
+    if SECTION not in parser:
+        return result.Failure(f'section [{SECTION}] is missing')
+    values = dict(parser[SECTION])
+    try:
+        adapter = msgspec.convert(values, AdapterSection, strict=False)
+        callers = parse_address(adapter.callers)
+        for address in (
+            adapter.readiness,
+            adapter.announcements,
+            adapter.upstream,
+            adapter.store,
+        ):
+            parse_address(address)
+    except (msgspec.ValidationError, ValueError) as error:
+        return result.Failure(f'[{SECTION}] {error}')
+    parser.remove_section(SECTION)
+    parser['callers'] = {
+        **(dict(parser['callers']) if 'callers' in parser else {}),
+        'host': callers.host,
+        'port': str(callers.port),
+    }
+    rest = io.StringIO()
+    parser.write(rest)
+    return settings.parse(rest.getvalue()).map(
+        lambda node: PlatformSettings(node, adapter)
+    )
--- /dev/null
+++ b/jasminebeam/platform/store.py
@@ -0,0 +1,287 @@
+"""The platform's key-value store behind the product's `Store`."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import socket
+import typing
+
+import aiohttp
+import msgspec
+from returns import result
+
+from jasminebeam.store import store
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.telemetry import metrics
+
+# A waiting watch is one call; the platform allows at most 30 s.
+WATCH_WAIT_MS = 25_000
+WATCH_SLACK_S = 2.0
+
+# A connection that has gone silent is noticed within about 3 s.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+SILENT_AFTER_MS = 3_000
+
+_OK = 200
+_MISSING = 404
+_CONFLICT = 412
+
+_Unavailable = result.Failure(store.StoreError.UNAVAILABLE)
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    revision: int
+    value: str = ''
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct, frozen=True, rename='camel'):
+    items: tuple[_Item, ...]
+    current_rev: int
+    truncated: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True, rename='camel'):
+    events: tuple[_Item, ...]
+    current_rev: int
+
+
+class _Written(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Lease(msgspec.Struct, frozen=True, rename='camel'):
+    ttl_ms: int
+    lease: int = 0
+
+
+class PlatformStore:
+    """Calls the store over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the store.
+    timeout_ms : int
+        Longest time of one call; watches wait longer.
+    counters : Metrics
+        Counts calls by kind and result.
+    """
+
+    def __init__(
+        self, address: str, timeout_ms: int, counters: metrics.Metrics
+    ) -> None:
+        self._base = f'http://{address}/v1/'
+        self._timeout_s = timeout_ms / 1_000
+        self._counters = counters
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(socket_factory=_create_socket),
+            timeout=aiohttp.ClientTimeout(total=None),
+        )
+        # A repeated write would hide that the first one took effect.
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._session.close()
+
+    async def get(
+        self, key: str
+    ) -> result.Result[store.KeyValue | None, store.StoreError]:
+        """Return a key, or None if it does not exist."""
+        answer = await self._call('GET', 'kv-key', {'key': key})
+        if answer is None:
+            return _Unavailable
+        status, body = answer
+        if status == _MISSING:
+            return result.Success(None)
+        return self._decode(body, _Item).map(_key_value)
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[store.Listing, store.StoreError]:
+        """Return the keys under a prefix, page by page."""
+        found: list[store.KeyValue] = []
+        revision = 0
+        after = ''
+        while True:
+            query = {'prefix': prefix}
+            if after:
+                query['after'] = after
+            answer = await self._call('GET', 'kv-range', query)
+            if answer is None or answer[0] != _OK:
+                return _Unavailable
+            page = self._decode(answer[1], _Page).value_or(None)
+            if page is None:
+                return _Unavailable
+            # Pages are no snapshot: a watch begins at the first one.
+            revision = revision or page.current_rev
+            found.extend(map(_key_value, page.items))
+            if not page.truncated or not page.items:
+                return result.Success(store.Listing(revision, tuple(found)))
+            after = page.items[-1].key
+
+    async def compare_and_set(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease_id: int = 0,
+    ) -> result.Result[int, store.StoreError]:
+        """Write a key if its revision is the expected one."""
+        put: dict[str, typing.Any] = {
+            'key': key,
+            'value': base64.b64encode(value).decode(),
+        }
+        if lease_id:
+            put['lease'] = lease_id
+        body = {
+            'expectedRev': [{'key': key, 'revision': expected_revision}],
+            'puts': [put],
+            'deletes': [],
+        }
+        answer = await self._call('POST', 'kv-txn', body=body)
+        if answer is None:
+            return _Unavailable
+        status, content = answer
+        if status == _CONFLICT:
+            return result.Failure(store.StoreError.CONFLICT)
+        if status == _MISSING:
+            return result.Failure(store.StoreError.LEASE_EXPIRED)
+        return self._decode(content, _Written).map(
+            lambda written: written.revision
+        )
+
+    async def grant_lease(
+        self, ttl_s: int
+    ) -> result.Result[int, store.StoreError]:
+        """Return a new lease."""
+        answer = await self._call(
+            'POST', 'kv-lease', body={'ttlMs': ttl_s * 1_000}
+        )
+        if answer is None:
+            return _Unavailable
+        return self._decode(answer[1], _Lease).map(lambda lease: lease.lease)
+
+    async def keep_alive(
+        self, lease_id: int
+    ) -> result.Result[int, store.StoreError]:
+        """Prolong a lease and return its time to live in seconds."""
+        answer = await self._call('POST', f'kv-keep/{lease_id}', body={})
+        if answer is None:
+            return _Unavailable
+        status, content = answer
+        if status == _MISSING:
+            return result.Failure(store.StoreError.LEASE_EXPIRED)
+        return self._decode(content, _Lease).map(
+            lambda lease: lease.ttl_ms // 1_000
+        )
+
+    async def revoke_lease(
+        self, lease_id: int
+    ) -> result.Result[None, store.StoreError]:
+        """End a lease; its keys are deleted."""
+        answer = await self._call('DELETE', f'kv-lease-end/{lease_id}')
+        if answer is None:
+            return _Unavailable
+        return result.Success(None)
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> typing.AsyncIterator[store.KeyValue]:
+        """Yield each write under a prefix, from a revision on.
+
+        Ends when the connection is lost or the history is gone.
+        """
+        after = from_revision - 1
+        while True:
+            query = {
+                'prefix': prefix,
+                'after': str(after),
+                'waitMs': str(WATCH_WAIT_MS),
+            }
+            answer = await self._call(
+                'GET',
+                'kv-watch',
+                query,
+                timeout_s=WATCH_WAIT_MS / 1_000 + WATCH_SLACK_S,
+            )
+            if answer is None or answer[0] != _OK:
+                return
+            found = self._decode(answer[1], _Events).value_or(None)
+            if found is None:
+                return
+            for event in found.events:
+                if not event.deleted:
+                    yield _key_value(event)
+            after = found.current_rev
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: typing.Any = None,
+        timeout_s: float | None = None,
+    ) -> tuple[int, bytes] | None:
+        """Return status and body; None if the call has no result."""
+        kind = path.partition('/')[0]
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            async with asyncio.timeout(timeout_s or self._timeout_s):
+                async with self._session.request(
+                    method,
+                    self._base + path,
+                    params=query,
+                    data=data,
+                    headers={'Content-Type': 'application/json'}
+                    if data is not None
+                    else None,
+                ) as response:
+                    content = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self._count(kind, 'unavailable')
+            return None
+        status = response.status
+        if status not in (_OK, _MISSING, _CONFLICT):
+            self._count(kind, f'refused_{status}')
+            return None
+        self._count(kind, 'ok')
+        return status, content
+
+    def _decode(
+        self, content: bytes, kind: type
+    ) -> result.Result[typing.Any, store.StoreError]:
+        try:
+            return result.Success(msgspec.json.decode(content, type=kind))
+        except msgspec.DecodeError:
+            self._count('answer', 'malformed')
+            return _Unavailable
+
+    def _count(self, kind: str, outcome: str) -> None:
+        self._counters.store_calls.labels(kind, outcome).inc()
+
+
+def _key_value(item: _Item) -> store.KeyValue:
+    return store.KeyValue(
+        item.key, base64.b64decode(item.value), item.revision
+    )
+
+
+def _create_socket(address: typing.Any) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    created = socket.socket(family, kind, protocol)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, SILENT_AFTER_MS),
+    ):
+        created.setsockopt(socket.IPPROTO_TCP, option, value)
+    return created
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -6,7 +6,6 @@
 import enum
 
 from jasminebeam.model import requests
-from jasminebeam.routing import table
 from jasminebeam import verdict
 
 MAX_ATTEMPTS = 4
@@ -147,7 +146,7 @@
     if not call.idempotent:
         return False
     if result.answer is not None:
-        return table.is_failure(result) and not is_final(result.answer)
+        return verdict.is_failure(result) and not is_final(result.answer)
     return True
 
 
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -16,8 +16,6 @@
 EJECT_BASE_MS = 1_000.0
 EJECT_MAX_MS = 30_000.0
 
-SERVER_ERROR_STATUS = 500
-
 # Refusals that say nothing about the health of the upstream.
 _HARMLESS = frozenset(
     {
@@ -114,7 +112,7 @@
         self.outstanding.pop(token, None)
         if result.reason in _HARMLESS:
             return False
-        if not is_failure(result):
+        if not verdict.is_failure(result):
             self.failure_rate *= 1 - FAILURE_WEIGHT
             self.consecutive_failures = 0
             if now_ms >= self.ejected_until_ms:
@@ -148,13 +146,6 @@
         return True
 
 
-def is_failure(result: verdict.Verdict) -> bool:
-    """Return True for a verdict that counts against the upstream."""
-    if result.answer is None:
-        return True
-    return result.answer.status >= SERVER_ERROR_STATUS
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
     """Where this node is; used for first estimates of round trips."""
--- a/jasminebeam/settings.py
+++ b/jasminebeam/settings.py
@@ -51,11 +51,18 @@
     ----------
     port : int
         Port of the HTTP server.
+    host : str
+        IP address of the HTTP server; the node's if it is empty.
+    stop_grace_ms : int
+        Time for which a stopping node still takes requests, so that
+        callers can turn to other nodes.
     max_body_bytes : int
         Largest request body.
     """
 
     port: Port
+    host: str = ''
+    stop_grace_ms: Milliseconds = 1_000
     max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=0, le=1_048_576)] = (
         262_144
     )
@@ -114,7 +121,7 @@
         Time between two reads of the upstream's load report.
     """
 
-    announce_port: Port
+    announce_port: Port = 7002
     queue_ratio: typing.Annotated[float, msgspec.Meta(ge=0, le=100)] = 4.0
     max_answer_bytes: typing.Annotated[
         int, msgspec.Meta(ge=1, le=1_048_576)
@@ -133,7 +140,7 @@
         Paths of PEM files; all empty for plain connections.
     """
 
-    port: Port
+    port: Port = 7003
     tls_certificate: str = ''
     tls_key: str = ''
     tls_client_ca: str = ''
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -118,9 +118,16 @@
         return former
 
     def drain(self) -> None:
-        """Refuse new work; what is accepted is finished."""
+        """Refuse new work and what waits; what has begun is finished."""
         if self.phase is upstreams.Phase.READY:
             self.phase = upstreams.Phase.DRAINING
+        self._refuse_waiting(verdict.Reason.DRAINING)
+
+    def detach(self) -> None:
+        """Forget the upstream, because another one has its address."""
+        self.phase = upstreams.Phase.ABSENT
+        self.announcement = None
+        self._refuse_waiting(verdict.Reason.NOT_READY)
 
     def stop(self) -> None:
         """Refuse new work because the node itself stops."""
@@ -164,10 +171,17 @@
         if handler is not None:
             handler(message, send)
 
-    async def read_load(self) -> None:
-        """Read the upstream's own (late) report of its load."""
-        if self._client is not None:
-            self.reported_load = await self._client.fetch_load()
+    async def check(self) -> upstreams.Health | None:
+        """Return the upstream's own (late) account of health and load."""
+        if self._client is None:
+            return None
+        return await self._client.check()
+
+    def on_report(self, report: upstreams.LoadReport) -> None:
+        """Record the load that the upstream tells of itself."""
+        self.reported_load = report.running + report.waiting
+        if report.slots and report.slots != self._slots.slots:
+            self._slots.slots = report.slots
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
@@ -182,6 +196,11 @@
             )
         self._registry.expire(now_ms)
 
+    def _refuse_waiting(self, reason: verdict.Reason) -> None:
+        now_ms = self._clock()
+        for request_id in self._slots.withdraw_all():
+            self._finish(request_id, verdict.not_run(reason), now_ms)
+
     def sample(self, now_ms: float) -> upstreams.LoadSample:
         """Return the load at this moment."""
         return self._slots.sample(self.phase, self.reported_load, now_ms)
@@ -412,4 +431,5 @@
         idempotent=message.idempotent,
         deadline_ms=now_ms + message.time_left_us / 1_000,
         key=message.key,
+        priority=message.priority,
     )
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -34,8 +34,16 @@
     NODE_STOPPING = EventKind(101, logbook.INFO, 'graceful stop started')
     NODE_STOPPED = EventKind(102, logbook.INFO, 'node stopped')
     TASK_FAILED = EventKind(103, logbook.ERROR, 'background task failed')
+    SETTINGS_RELOADED = EventKind(104, logbook.INFO, 'settings read again')
+    SETTINGS_REFUSED = EventKind(105, logbook.ERROR, 'settings refused')
     UPSTREAM_ANNOUNCED = EventKind(200, logbook.INFO, 'upstream announced')
     UPSTREAM_DRAINING = EventKind(201, logbook.INFO, 'upstream draining')
+    UPSTREAM_DETACHED = EventKind(
+        202, logbook.WARNING, 'another upstream has the address'
+    )
+    HEARTBEAT_REFUSED = EventKind(203, logbook.WARNING, 'heartbeat refused')
+    UPSTREAM_LOST = EventKind(204, logbook.WARNING, 'upstream unreachable')
+    UPSTREAM_FOUND = EventKind(205, logbook.INFO, 'upstream reachable again')
     LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
@@ -55,6 +63,7 @@
     RELAY_LOST = EventKind(503, logbook.WARNING, 'relay lease lost')
     STORE_UNAVAILABLE = EventKind(504, logbook.WARNING, 'store unavailable')
     STORE_AVAILABLE = EventKind(505, logbook.INFO, 'store available again')
+    ROUTES_APPLIED = EventKind(506, logbook.INFO, 'route set in force')
     UPSTREAM_EJECTED = EventKind(
         600, logbook.WARNING, 'upstream ejected from selection'
     )
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -101,6 +101,9 @@
             'Calls to the store by kind and result.',
             'kind result',
         )
+        self.heartbeats_refused = self._counter(
+            'heartbeats_refused', 'Malformed heartbeats of upstreams.', ''
+        )
         self.events = self._counter(
             'events', 'Log events by number.', 'number'
         )
--- a/jasminebeam/upstreams/announcements.py
+++ b/jasminebeam/upstreams/announcements.py
@@ -34,11 +34,17 @@
         Acts on announcements.
     counters : Metrics
         Metrics to serve.
+    port : int
+        Port on the loopback address.
     """
 
     def __init__(
-        self, target: AnnouncementTarget, counters: metrics.Metrics
+        self,
+        target: AnnouncementTarget,
+        counters: metrics.Metrics,
+        port: int,
     ) -> None:
+        self._port = port
         self._target = target
         self._counters = counters
         application = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
@@ -52,10 +58,10 @@
         )
         self._runner = web.AppRunner(application, access_log=None)
 
-    async def start(self, port: int) -> None:
+    async def start(self) -> None:
         """Listen on the loopback address."""
         await self._runner.setup()
-        await web.TCPSite(self._runner, '127.0.0.1', port).start()
+        await web.TCPSite(self._runner, '127.0.0.1', self._port).start()
 
     async def stop(self) -> None:
         """Stop listening."""
--- /dev/null
+++ b/jasminebeam/upstreams/dialect.py
@@ -0,0 +1,93 @@
+"""How requests, answers and load look on the wire of an upstream."""
+
+from __future__ import annotations
+
+import typing
+
+from jasminebeam.model import requests
+from jasminebeam.model import upstreams
+from jasminebeam import verdict
+
+Pairs = typing.Mapping[str, str]
+
+
+class UpstreamDialect(typing.Protocol):
+    """Translates between calls and an upstream's HTTP."""
+
+    def request_headers(
+        self,
+        call: requests.Call,
+        time_left_ms: float,
+        announcement: upstreams.Announcement,
+    ) -> requests.Headers:
+        """Return the headers of a hand-over."""
+
+    def judge(
+        self,
+        call: requests.Call,
+        answer: requests.Answer,
+        headers: Pairs,
+        announcement: upstreams.Announcement,
+    ) -> verdict.Verdict:
+        """Return the verdict that a whole answer stands for."""
+
+    def read_report(self, headers: Pairs) -> upstreams.LoadReport | None:
+        """Return the load that came with an answer."""
+
+    def health_target(self, announcement: upstreams.Announcement) -> str:
+        """Return the path of the health check; empty if there is none."""
+
+    def read_health(
+        self, status: int, headers: Pairs, body: bytes
+    ) -> upstreams.Health:
+        """Return the result of a health check."""
+
+
+class OwnDialect:
+    """Headers of the product's own interface towards upstreams."""
+
+    def request_headers(
+        self,
+        call: requests.Call,
+        time_left_ms: float,
+        announcement: upstreams.Announcement,
+    ) -> requests.Headers:
+        """Return the call's headers, its id and the time left."""
+        return (
+            *call.headers,
+            (requests.REQUEST_ID_HEADER, call.request_id),
+            (requests.TIMEOUT_HEADER, str(int(time_left_ms))),
+        )
+
+    def judge(
+        self,
+        call: requests.Call,
+        answer: requests.Answer,
+        headers: Pairs,
+        announcement: upstreams.Announcement,
+    ) -> verdict.Verdict:
+        """Return *not run* for the announced way to shed."""
+        if answer.status == announcement.shed_status:
+            header = announcement.shed_header
+            if not header or header in headers:
+                return verdict.not_run(verdict.Reason.SHED)
+        return verdict.answered(answer)
+
+    def read_report(self, headers: Pairs) -> upstreams.LoadReport | None:
+        """Return nothing: load is read from its own path."""
+        return None
+
+    def health_target(self, announcement: upstreams.Announcement) -> str:
+        """Return the path of the load report."""
+        return announcement.load_path
+
+    def read_health(
+        self, status: int, headers: Pairs, body: bytes
+    ) -> upstreams.Health:
+        """Return the number of requests that the body tells."""
+        try:
+            running = int(body)
+        except ValueError:
+            return upstreams.Health(status == 200)
+        report = upstreams.LoadReport(running, 0, 0)
+        return upstreams.Health(status == 200, report=report)
--- /dev/null
+++ b/jasminebeam/upstreams/lifecycle.py
@@ -0,0 +1,138 @@
+"""Life of the upstream beside a node, from what it says of itself."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from jasminebeam.model import upstreams
+
+
+class Step(enum.Enum):
+    """What the node does with the upstream."""
+
+    NOTHING = 'nothing'
+    ATTACH = 'attach'
+    DRAIN = 'drain'
+    DETACH = 'detach'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """One heartbeat of an upstream.
+
+    Parameters
+    ----------
+    announcement : Announcement
+        How to reach it; names its identity and service.
+    started_ms : int
+        Wall-clock ms of its start; 0 if it does not say.
+    sequence : int
+        Rises with each heartbeat of one start.
+    draining : bool
+        True if it wants no new work.
+    """
+
+    announcement: upstreams.Announcement
+    started_ms: int
+    sequence: int
+    draining: bool
+
+
+class UpstreamLife:
+    """Tells the present upstream from late news of former ones.
+
+    An upstream may start again under its identity, and another one may
+    get its address. Starts are ordered by their time; where the time of
+    day was set back between two starts, the identity that the health
+    check returns decides.
+    """
+
+    def __init__(self) -> None:
+        self.current: Heartbeat | None = None
+        self._draining = False
+        self._rejected: Heartbeat | None = None
+
+    def on_heartbeat(self, beat: Heartbeat) -> Step:
+        """Return what a heartbeat changes."""
+        known = self.current
+        if known is None or self._is_later_start(beat, known):
+            return self._attach(beat)
+        if not _is_same_start(beat, known):
+            self._rejected = beat
+            return Step.NOTHING
+        if beat.sequence <= known.sequence:
+            return Step.NOTHING
+        changed = beat.announcement != known.announcement
+        self.current = beat
+        if self._draining:
+            return Step.NOTHING
+        if beat.draining:
+            self._draining = True
+            return Step.DRAIN
+        return Step.ATTACH if changed else Step.NOTHING
+
+    def on_leave(self, upstream_id: str, started_ms: int) -> Step:
+        """Return what a notice of leaving changes."""
+        known = self.current
+        if known is None or known.announcement.upstream_id != upstream_id:
+            return Step.NOTHING
+        if started_ms and known.started_ms and started_ms < known.started_ms:
+            return Step.NOTHING
+        if self._draining:
+            return Step.NOTHING
+        self._draining = True
+        return Step.DRAIN
+
+    def on_identity(
+        self, upstream_id: str, fallback: upstreams.Announcement
+    ) -> Step:
+        """Return what the identity of a healthy upstream changes.
+
+        Parameters
+        ----------
+        upstream_id : str
+            Identity that answered the health check.
+        fallback : Announcement
+            How to reach an upstream that has sent no heartbeat yet.
+        """
+        known = self.current
+        if known is not None and known.announcement.upstream_id == upstream_id:
+            return Step.NOTHING
+        beat = self._rejected
+        if beat is None or beat.announcement.upstream_id != upstream_id:
+            announcement = dataclasses.replace(
+                fallback, upstream_id=upstream_id
+            )
+            beat = Heartbeat(announcement, 0, 0, draining=False)
+        return self._attach(beat)
+
+    def on_other_identity(self) -> Step:
+        """Return what it changes that another upstream has answered."""
+        if self.current is None:
+            return Step.NOTHING
+        self.current = None
+        return Step.DETACH
+
+    def _attach(self, beat: Heartbeat) -> Step:
+        self.current = beat
+        self._rejected = None
+        self._draining = beat.draining
+        return Step.DRAIN if beat.draining else Step.ATTACH
+
+    def _is_later_start(self, beat: Heartbeat, known: Heartbeat) -> bool:
+        if _is_same_start(beat, known):
+            return False
+        if not beat.started_ms or not known.started_ms:
+            return beat.announcement.upstream_id != (
+                known.announcement.upstream_id
+            )
+        return beat.started_ms > known.started_ms
+
+
+def _is_same_start(beat: Heartbeat, known: Heartbeat) -> bool:
+    if beat.announcement.upstream_id != known.announcement.upstream_id:
+        return False
+    if not beat.started_ms or not known.started_ms:
+        return True
+    return beat.started_ms == known.started_ms
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -49,6 +49,13 @@
     KEY_BUSY = 'key_busy'
     KEY_TABLE_FULL = 'key_table_full'
     KEY_OWNER_UNAVAILABLE = 'key_owner_unavailable'
+    NO_CONFIGURATION = 'no_configuration'
+    WRONG_UPSTREAM = 'wrong_upstream'
+    WRONG_ANSWER = 'wrong_answer'
+    ANSWER_TRUNCATED = 'answer_truncated'
+
+
+SERVER_ERROR_STATUS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,3 +90,10 @@
 def may_have_run(reason: Reason) -> Verdict:
     """Return the verdict on a request whose effect is unknown."""
     return Verdict(Outcome.MAY_HAVE_RUN, reason)
+
+
+def is_failure(result: Verdict) -> bool:
+    """Return True for a verdict that counts against the upstream."""
+    if result.answer is None:
+        return True
+    return result.answer.status >= SERVER_ERROR_STATUS
--- a/tests/test_membership/test_gossip.py
+++ b/tests/test_membership/test_gossip.py
@@ -8,6 +8,7 @@
 import pytest
 
 from jasminebeam.configuration import directory
+from jasminebeam.configuration import routes
 from jasminebeam.membership import gossip
 from jasminebeam.membership import table
 from jasminebeam.model import services
@@ -44,6 +45,7 @@
         self.nodes[name] = gossip.Gossip(
             member(name, domain, incarnation),
             directory.ServiceDirectory(),
+            routes.RouteDirectory(random.Random(name)),
             seeds,
             random.Random(name),
             gossip.Options(),
--- a/tests/test_upstreams/test_client.py
+++ b/tests/test_upstreams/test_client.py
@@ -9,6 +9,7 @@
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
 from jasminebeam.upstreams import client
+from jasminebeam.upstreams import dialect
 from jasminebeam import verdict
 from tests import ports
 
@@ -57,7 +58,9 @@
     announcement = upstreams.Announcement(
         's', upstream.port, shed_status=503, shed_header='X-Shed'
     )
-    created = client.HttpUpstreamClient(announcement, max_answer_bytes=100)
+    created = client.HttpUpstreamClient(
+        announcement, 100, dialect.OwnDialect(), lambda report: None
+    )
     yield created
     await created.close()
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,9 +18,9 @@
 from jasminebeam.routing import policies
 from jasminebeam.routing import selection
 from jasminebeam.routing import table
+from jasminebeam.sidecar import sidecar
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
-from jasminebeam.sidecar import sidecar
 from jasminebeam import verdict
 from tests import virtual
 
@@ -60,9 +60,9 @@
         answer = requests.Answer(status, (), call.request_id.encode())
         return verdict.answered(answer)
 
-    async def fetch_load(self) -> int:
-        """Return that the load is unknown."""
-        return -1
+    async def check(self) -> upstreams.Health | None:
+        """Return that nothing is known."""
+        return None
 
     async def close(self) -> None:
         """Do nothing."""
