--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import gc
 import json
 import pathlib
@@ -12,6 +11,8 @@
 import tracemalloc
 import typing
 
+import msgspec
+
 import psutil
 import tabulate
 import uvloop
@@ -244,7 +245,7 @@
             routing_table.Place('me', 'domain-0', 'region-0')
         )
         for index in range(size):
-            record = dataclasses.replace(member(index), service='s')
+            record = msgspec.structs.replace(member(index), service='s')
             routes.update(record)
             sample = upstreams.LoadSample(
                 1, 3, 0, 9, 5_000, 1_000, -1, upstreams.Phase.READY
--- /dev/null
+++ b/jasminebeam/admission/pace.py
@@ -0,0 +1,88 @@
+"""How slow the upstream's host is, and whether that tells anything."""
+
+from __future__ import annotations
+
+from jasminebeam.model import upstreams
+
+# Hosts change their speed some times a second; within this age a figure
+# still holds for nearly all requests.
+FRESH_MS = 20.0
+
+# Beyond this age a figure says nothing: the speed has changed by then.
+STALE_MS = 300.0
+
+# From here on a start is worth avoiding.
+SLOW_FROM = 1.5
+
+# Completed requests that began on a slow host before the figure is judged.
+MIN_JUDGED = 8
+LEARNING_WEIGHT = 0.1
+
+# Slow starts must take at least this much longer than others, or the
+# figure does not predict and is ignored.
+PREDICTIVE_RATIO = 1.3
+
+
+class HostPace:
+    """Follows the slowness that the upstream reports of its host.
+
+    Load pattern: neighbours on the same host slow it down for some
+    hundred milliseconds at a time, and how long a request takes is set
+    by the host's speed when it starts. The figure is trusted only as far
+    as the durations of completed requests bear it out.
+    """
+
+    def __init__(self) -> None:
+        self._slowness = upstreams.USUAL_SLOWNESS
+        self._reported_ms = float('-inf')
+        self._slow_mean_ms = 0.0
+        self._usual_mean_ms = 0.0
+        self._slow_count = 0
+
+    @property
+    def reported(self) -> bool:
+        """True once the upstream has told its host's slowness."""
+        return self._reported_ms > float('-inf')
+
+    def on_report(self, slowness: float, now_ms: float) -> None:
+        """Record a figure."""
+        self._slowness = slowness
+        self._reported_ms = now_ms
+
+    def on_completion(self, slowness: float, duration_ms: float) -> None:
+        """Learn from a request that began at a slowness."""
+        if slowness >= SLOW_FROM:
+            self._slow_count += 1
+            self._slow_mean_ms = _moved(self._slow_mean_ms, duration_ms)
+        else:
+            self._usual_mean_ms = _moved(self._usual_mean_ms, duration_ms)
+
+    def is_predictive(self) -> bool:
+        """Return False once durations have shown that the figure is idle."""
+        if self._slow_count < MIN_JUDGED or not self._usual_mean_ms:
+            return True
+        ratio = self._slow_mean_ms / self._usual_mean_ms
+        return ratio >= PREDICTIVE_RATIO
+
+    def needs_check(self, now_ms: float) -> bool:
+        """Return True if a start should wait for a fresher figure."""
+        if not self.reported or not self.is_predictive():
+            return False
+        return now_ms - self._reported_ms > FRESH_MS
+
+    def slowness(self, now_ms: float) -> float:
+        """Return the slowness that a start at this moment would meet."""
+        if now_ms - self._reported_ms > STALE_MS or not self.is_predictive():
+            return upstreams.USUAL_SLOWNESS
+        return self._slowness
+
+
+def is_slow(slowness: float) -> bool:
+    """Return True if a start at this slowness is worth avoiding."""
+    return slowness >= SLOW_FROM
+
+
+def _moved(mean_ms: float, value_ms: float) -> float:
+    if not mean_ms:
+        return value_ms
+    return mean_ms + LEARNING_WEIGHT * (value_ms - mean_ms)
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-import collections
+import bisect
 import dataclasses
 import enum
 
+from jasminebeam.admission import pace
 from jasminebeam.model import upstreams
 from jasminebeam import verdict
 
 SERVICE_TIME_WEIGHT = 0.1
+
+# A slow host is back at its usual speed within this time, so that a start
+# is put off no longer; it is also the longest hold of one request.
+MAX_HOLD_MS = 400.0
 INITIAL_SERVICE_MS = 5.0
 
 # Without a completion for this many expected ones, the chance that the
@@ -43,10 +48,38 @@
         Identity that the caller of the queue chose.
     deadline_ms : float
         Monotonic instant after which the request is not started.
+    start_by_ms : float
+        Monotonic instant from which it starts on a slow host as well.
+    priority : int
+        Rank; 0 is started first.
+    """
+
+    ticket: object
+    deadline_ms: float
+    start_by_ms: float = 0.0
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A request that asks for a slot.
+
+    Parameters
+    ----------
+    ticket : object
+        Identity of the request.
+    deadline_ms : float
+        Monotonic instant after which the request is not started.
+    max_wait_ms : float
+        Longest predicted wait that the ingress node accepts.
+    priority : int
+        Rank; 0 is started first.
     """
 
     ticket: object
     deadline_ms: float
+    max_wait_ms: float
+    priority: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,13 +103,20 @@
         Requests that the upstream works on at once.
     queue_ratio : float
         Longest queue as a multiple of the slots.
+    usable_ratio : float
+        Share of the slots that is filled; upstreams that slow down when
+        nearly full do more work with some slots free.
     """
 
-    def __init__(self, slots: int, queue_ratio: float) -> None:
+    def __init__(
+        self, slots: int, queue_ratio: float, usable_ratio: float = 1.0
+    ) -> None:
         self.slots = slots
         self._queue_ratio = queue_ratio
+        self._usable_ratio = usable_ratio
         self._started: dict[object, float] = {}
-        self._queue: collections.deque[Waiting] = collections.deque()
+        self._slowness_at: dict[object, float] = {}
+        self._queue: list[Waiting] = []
         self._service_ms = INITIAL_SERVICE_MS
         self._completed_ms = 0.0
         self.completed = 0
@@ -92,41 +132,54 @@
         """Number of requests that wait for a slot."""
         return len(self._queue)
 
-    def offer(
-        self,
-        ticket: object,
-        deadline_ms: float,
-        max_wait_ms: float,
-        now_ms: float,
-    ) -> Decision:
+    @property
+    def usable(self) -> int:
+        """Number of slots that are filled."""
+        if not self.slots:
+            return 0
+        return max(1, int(self.slots * self._usable_ratio))
+
+    def offer(self, offer: Offer, slowness: float, now_ms: float) -> Decision:
         """Decide whether a request starts, waits or is refused.
 
+        Load pattern: slots that fill up in a burst, and hosts that are
+        slow for a fraction of a second, where it is better to go
+        elsewhere, or to wait for the host, than to start.
+
         Parameters
         ----------
-        ticket : object
-            Identity of the request.
-        deadline_ms : float
-            Monotonic instant after which the request is not started.
-        max_wait_ms : float
-            Longest predicted wait that the ingress node accepts.
+        offer : Offer
+            The request.
+        slowness : float
+            Slowness of the host at this moment.
         now_ms : float
             Monotonic time.
         """
-        if len(self._started) < self.slots and not self._queue:
-            self._start(ticket, now_ms)
+        hold_ms = 0.0
+        if pace.is_slow(slowness):
+            hold_ms = min(MAX_HOLD_MS, (slowness - 1) * self._service_ms)
+        elif len(self._started) < self.usable and not self._queue:
+            self._start(offer.ticket, slowness, now_ms)
             return START
-        wait_ms = self.predicted_wait_ms(now_ms)
-        if now_ms + wait_ms >= deadline_ms:
+        wait_ms = max(hold_ms, self.predicted_wait_ms(now_ms))
+        if now_ms + wait_ms >= offer.deadline_ms:
             return Decision(Step.REFUSE, verdict.Reason.WOULD_MISS_DEADLINE)
-        if wait_ms > max_wait_ms:
+        if wait_ms > offer.max_wait_ms:
             return Decision(Step.REFUSE, verdict.Reason.BUSY)
         if len(self._queue) >= self.slots * self._queue_ratio:
             return Decision(Step.REFUSE, verdict.Reason.QUEUE_FULL)
-        self._queue.append(Waiting(ticket, deadline_ms))
+        self._enqueue(
+            Waiting(
+                offer.ticket,
+                offer.deadline_ms,
+                now_ms + hold_ms,
+                offer.priority,
+            )
+        )
         return WAIT
 
     def release(
-        self, ticket: object, now_ms: float, measured: bool
+        self, ticket: object, slowness: float, now_ms: float, measured: bool
     ) -> Released:
         """Free a slot and return the queued requests that take over.
 
@@ -134,6 +187,8 @@
         ----------
         ticket : object
             Request that has left the upstream.
+        slowness : float
+            Slowness of the host at this moment.
         now_ms : float
             Monotonic time.
         measured : bool
@@ -141,13 +196,21 @@
             tells the service time.
         """
         started_ms = self._started.pop(ticket, None)
+        slowness_before = self._slowness_at.pop(ticket, 1.0)
         if started_ms is not None and measured:
             self.completed += 1
             weight = max(SERVICE_TIME_WEIGHT, 1 / self.completed)
-            change_ms = now_ms - started_ms - self._service_ms
-            self._service_ms += weight * change_ms
+            usual_ms = (now_ms - started_ms) / slowness_before
+            self._service_ms += weight * (usual_ms - self._service_ms)
             self._completed_ms = now_ms
-        return self._fill(now_ms)
+        return self.fill(slowness, now_ms)
+
+    def started_at(self, ticket: object) -> tuple[float, float] | None:
+        """Return when a request began and the slowness that it met."""
+        started_ms = self._started.get(ticket)
+        if started_ms is None:
+            return None
+        return started_ms, self._slowness_at[ticket]
 
     def withdraw(self, ticket: object) -> bool:
         """Remove a request from the queue; False if it is not there."""
@@ -186,13 +249,17 @@
 
     def predicted_wait_ms(self, now_ms: float) -> float:
         """Return the time that a new request would wait for a slot."""
-        ahead = len(self._started) + len(self._queue) + 1 - self.slots
-        if ahead <= 0:
+        ahead = len(self._started) + len(self._queue) + 1 - self.usable
+        if ahead <= 0 or not self.usable:
             return 0.0
-        return ahead * self.service_ms(now_ms) / self.slots
+        return ahead * self.service_ms(now_ms) / self.usable
 
     def sample(
-        self, phase: upstreams.Phase, reported: int, now_ms: float
+        self,
+        phase: upstreams.Phase,
+        reported: int,
+        slowness: float,
+        now_ms: float,
     ) -> upstreams.LoadSample:
         """Return the load at this moment."""
         self._sequence += 1
@@ -203,27 +270,41 @@
             sequence=self._sequence,
             in_flight=len(self._started),
             queued=len(self._queue),
-            slots=self.slots,
+            slots=self.usable,
             service_us=int(self.service_ms(now_ms) * 1_000),
             oldest_us=int(oldest_ms * 1_000),
             reported=reported,
             phase=phase,
+            slowness_percent=round(slowness * 100),
         )
 
-    def _start(self, ticket: object, now_ms: float) -> None:
-        if not self._started:
-            # An idle upstream completes nothing; the count begins anew.
-            self._completed_ms = now_ms
-        self._started[ticket] = now_ms
-
-    def _fill(self, now_ms: float) -> Released:
+    def fill(self, slowness: float, now_ms: float) -> Released:
+        """Return the queued requests that start now, by rank."""
+        slow = pace.is_slow(slowness)
         start = []
         expired = []
-        while self._queue and len(self._started) < self.slots:
-            waiting = self._queue.popleft()
+        for waiting in list(self._queue):
             if waiting.deadline_ms <= now_ms:
+                self._queue.remove(waiting)
                 expired.append(waiting.ticket)
-                continue
-            self._start(waiting.ticket, now_ms)
-            start.append(waiting.ticket)
+            elif len(self._started) >= self.usable:
+                break
+            elif not slow or now_ms >= waiting.start_by_ms:
+                self._queue.remove(waiting)
+                self._start(waiting.ticket, slowness, now_ms)
+                start.append(waiting.ticket)
         return Released(tuple(start), tuple(expired))
+
+    def _start(self, ticket: object, slowness: float, now_ms: float) -> None:
+        if not self._started:
+            # An idle upstream completes nothing; the count begins anew.
+            self._completed_ms = now_ms
+        self._started[ticket] = now_ms
+        self._slowness_at[ticket] = slowness
+
+    def _enqueue(self, waiting: Waiting) -> None:
+        bisect.insort(self._queue, waiting, key=_rank)
+
+
+def _rank(waiting: Waiting) -> int:
+    return waiting.priority
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -30,8 +30,8 @@
 CANCEL_GRACE_S = 0.05
 RETRY_BURST = 3.0
 HEDGE_BURST = 2.0
-REROUTE_RATIO = 0.5
-REROUTE_BURST = 20.0
+REROUTE_RATIO = 1.0
+REROUTE_BURST = 40.0
 
 
 class PeerSource(typing.Protocol):
@@ -66,6 +66,7 @@
     budgets: _ServiceBudgets
     started_ms: float
     attempts: int = 0
+    reached: int = 0
     patient: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
     sendings: dict[asyncio.Future[verdict.Verdict], _Sending] = (
@@ -166,7 +167,11 @@
             ):
                 continue
             step = policy.decide(
-                progress.call, result, progress.attempts, now_ms
+                progress.call,
+                result,
+                progress.attempts,
+                progress.reached + len(progress.sendings),
+                now_ms,
             )
             if step is policy.Next.RETURN:
                 return self._conclude(progress, result)
@@ -203,13 +208,14 @@
         delay_ms = policy.delay_ms(progress.attempts, jitter)
         if delay_ms:
             await asyncio.sleep(delay_ms / 1_000)
-        if self._send(progress, hedge=False) is not None:
+        again = policy.is_reroute(result)
+        if self._send(progress, hedge=False, again=again) is not None:
             return False
         self._counters.retries.labels(service, reason).inc()
         return True
 
     def _send(
-        self, progress: _Progress, hedge: bool
+        self, progress: _Progress, hedge: bool, again: bool = False
     ) -> verdict.Verdict | None:
         call = progress.call
         now_ms = self._clocks.monotonic_ms()
@@ -222,6 +228,13 @@
                 now_ms,
                 self._clocks.wall_ms(),
             )
+        if choice.state is None and again:
+            # All have refused: the request waits at the next one.
+            progress.tried.clear()
+            progress.patient = True
+            choice = self._selector.choose(
+                progress.service, (), now_ms, self._clocks.wall_ms()
+            )
         if choice.state is None:
             return verdict.not_run(choice.reason)
         state = choice.state
@@ -278,6 +291,9 @@
                 if not progress.call.key:
                     sending.peer.revoke(sending.attempt)
             return
+        reached = progress.reached + len(progress.sendings)
+        if reached >= progress.call.max_attempts:
+            return
         if not progress.budgets.hedges.take():
             reason = verdict.Reason.HEDGE.value
             self._counters.retries_denied.labels(service, reason).inc()
@@ -292,6 +308,8 @@
     ) -> verdict.Verdict:
         sending = progress.sendings.pop(future)
         result = future.result()
+        if policy.has_reached_upstream(result):
+            progress.reached += 1
         now_ms = self._clocks.monotonic_ms()
         self._record(progress.service.name, sending, result, now_ms)
         if sending.hedge and result.outcome is verdict.Outcome.ANSWERED:
--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -6,6 +6,8 @@
 import random
 import typing
 
+import msgspec
+
 from jasminebeam.membership import detector
 from jasminebeam.membership import domains
 from jasminebeam.membership import rumors
@@ -154,7 +156,7 @@
     def publish(self, now_ms: float, **changes: object) -> None:
         """Change fields of this node's own record and spread it."""
         self._publish(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 self.me, version=self.me.version + 1, **changes
             ),
             now_ms,
@@ -379,7 +381,7 @@
         if self.me.status is upstreams.Status.LEFT:
             return
         self._publish(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 self.me,
                 incarnation=max(member.incarnation, self.me.incarnation),
                 version=member.version + 1,
@@ -401,7 +403,9 @@
 
     def _suspect(self, node_id: str, now_ms: float, effects: Effects) -> None:
         member = self.members.get(node_id)
-        suspect = dataclasses.replace(member, status=upstreams.Status.SUSPECT)
+        suspect = msgspec.structs.replace(
+            member, status=upstreams.Status.SUSPECT
+        )
         self._merge_all((suspect,), now_ms, effects)
 
     def _expire(self, now_ms: float, effects: Effects) -> None:
@@ -411,7 +415,7 @@
             if member.failure_domain in self.domains.silent:
                 limit_ms = self._options.held_suspicion_ms
             if now_ms - since_ms >= limit_ms:
-                dead = dataclasses.replace(
+                dead = msgspec.structs.replace(
                     member, status=upstreams.Status.DEAD
                 )
                 self._merge_all((dead,), now_ms, effects)
--- a/jasminebeam/model/upstreams.py
+++ b/jasminebeam/model/upstreams.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 
 class Phase(enum.IntEnum):
     """Readiness of an upstream for new work."""
@@ -74,14 +76,15 @@
     ----------
     running, waiting, slots : int
         Requests that it works on, that wait, and that fit at once.
-    slowness : float
-        How long work takes at this moment as a multiple of the usual.
+    slowness : float or None
+        How long work takes at this moment as a multiple of the usual;
+        None if the upstream does not say.
     """
 
     running: int
     waiting: int
     slots: int
-    slowness: float = USUAL_SLOWNESS
+    slowness: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,8 +106,7 @@
     report: LoadReport | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadSample:
+class LoadSample(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Load of one upstream as its sidecar counts it.
 
     Parameters
@@ -121,6 +123,8 @@
         The upstream's own (late) report of its load; -1 if unknown.
     phase : Phase
         Readiness for new work.
+    slowness_percent : int
+        How long work takes on the host at this moment; 100 is usual.
     """
 
     sequence: int
@@ -131,10 +135,10 @@
     oldest_us: int
     reported: int
     phase: Phase
+    slowness_percent: int = 100
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One node and the upstream beside it, as gossip spreads them.
 
     Parameters
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -45,7 +45,6 @@
 EXPIRE_IDLE_TICK_S = 2.0
 IDLE_TICK_S = 2.0
 LEAVE_GRACE_S = 0.2
-POLICY_CHOICES = 2
 
 _DATA_KINDS = (
     messages.Hello,
@@ -97,7 +96,10 @@
         self.probes = probing.ProbePlanner()
         self.sidecar = sidecar.Sidecar(
             boot_id,
-            sidecar.Limits(queue_ratio=settings.upstream.queue_ratio),
+            sidecar.Limits(
+                queue_ratio=settings.upstream.queue_ratio,
+                usable_ratio=settings.upstream.usable_ratio,
+            ),
             self.metrics,
             clock.monotonic_ms,
         )
@@ -331,7 +333,11 @@
             self.log,
             self.metrics,
         )
-        by_name = policies.create_all(self.generator, POLICY_CHOICES)
+        by_name = policies.create_all(
+            self.generator,
+            self._settings.routing.choices,
+            self._settings.routing.other_domain_ms,
+        )
         self.dispatcher = dispatcher.Dispatcher(
             selection.Selector(self.routes, by_name),
             self.pool,
--- a/jasminebeam/peering/links.py
+++ b/jasminebeam/peering/links.py
@@ -84,6 +84,7 @@
         self.session = 0
         self._next_sequence = 0
         self._unanswered_ticks = 0
+        self._heard = False
         self._on_message = on_message
         self._on_lost = on_lost
         self._wire = transport.open(address, self._on_frame, self._on_closed)
@@ -103,9 +104,16 @@
         return len(frame)
 
     def tick(self, nonce: int) -> None:
-        """Count an interval without any message and send a ping."""
+        """Count an interval without any message and send a ping.
+
+        Messages in the last interval show as well that the connection
+        delivers, so that only a quiet one costs a ping.
+        """
         if self.state is LinkState.LOST:
             return
+        if self._heard:
+            self._heard = False
+            return
         self._unanswered_ticks += 1
         if self._unanswered_ticks > SILENT_TICKS:
             self.lose('silent')
@@ -130,6 +138,7 @@
 
     def _on_frame(self, frame: bytes) -> None:
         self._unanswered_ticks = 0
+        self._heard = True
         message = codec.decode(frame).value_or(None)
         if message is None:
             self.lose('malformed')
--- a/jasminebeam/platform/upstreams.py
+++ b/jasminebeam/platform/upstreams.py
@@ -94,7 +94,7 @@
         return None
     if len(figures) < 3 or min(figures) < 0:
         return None
-    slowness = upstreams.USUAL_SLOWNESS
+    slowness = None
     if len(figures) > 3 and figures[3] > 0:
         slowness = figures[3] / wire.USUAL_SPEED_PERCENT
     return upstreams.LoadReport(*figures[:3], slowness)
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -8,7 +8,9 @@
 from jasminebeam.model import requests
 from jasminebeam import verdict
 
-MAX_ATTEMPTS = 4
+# Sendings of one request, refused ones included: beyond it, refusals only
+# add load.
+MAX_SENDINGS = 8
 BASE_DELAY_MS = 1.0
 
 # Another upstream would refuse the request for the same cause.
@@ -37,7 +39,7 @@
 )
 
 # Longest wait of each attempt, as a share of the usual latency.
-_WAIT_SHARES = (0.1, 0.3)
+_WAIT_SHARES = (0.1, 0.1, 0.2, 0.3)
 LAST_WAIT_SHARE = 0.5
 
 
@@ -48,10 +50,22 @@
     RETRY = 'retry'
 
 
+# Refusals that come from the upstream itself: the request has reached it.
+_REACHED = frozenset({verdict.Reason.SHED, verdict.Reason.WRONG_UPSTREAM})
+
+
+def has_reached_upstream(result: verdict.Verdict) -> bool:
+    """Return True if an attempt may have got to an upstream."""
+    if result.outcome is verdict.Outcome.NOT_RUN:
+        return result.reason in _REACHED
+    return True
+
+
 def decide(
     call: requests.Call,
     result: verdict.Verdict,
-    attempts: int,
+    sendings: int,
+    reached: int,
     now_ms: float,
 ) -> Next:
     """Return whether a request may be sent again after a result.
@@ -62,14 +76,16 @@
         The request.
     result : Verdict
         Verdict on the attempt that has ended.
-    attempts : int
+    sendings : int
         Attempts sent until now.
+    reached : int
+        Attempts that may have got to an upstream, or still may.
     now_ms : float
         Monotonic time.
     """
-    if not may_repeat(call, result):
+    if not may_repeat(call, result) or reached >= call.max_attempts:
         return Next.RETURN
-    if attempts >= MAX_ATTEMPTS or now_ms >= call.deadline_ms:
+    if sendings >= MAX_SENDINGS or now_ms >= call.deadline_ms:
         return Next.RETURN
     return Next.RETRY
 
--- a/jasminebeam/routing/policies.py
+++ b/jasminebeam/routing/policies.py
@@ -118,7 +118,9 @@
         )
 
 
-def create_all(generator: random.Random, choices: int) -> dict[str, Policy]:
+def create_all(
+    generator: random.Random, choices: int, other_domain_ms: float = 0.0
+) -> dict[str, Policy]:
     """Return the policies by the names that operators use.
 
     Parameters
@@ -127,9 +129,12 @@
         Source of the random choices.
     choices : int
         Candidates that the policy ``least_cost`` compares.
+    other_domain_ms : float
+        What a request to another failure domain costs, told as a wait.
     """
+    weights = scoring.Weights(other_domain_ms=other_domain_ms)
     return {
-        'least_cost': LeastCost(generator, choices, scoring.Weights()),
+        'least_cost': LeastCost(generator, choices, weights),
         'random': RandomChoice(generator),
         'round_robin': RoundRobin(generator),
         'least_reported': LeastReported(generator),
--- a/jasminebeam/routing/scoring.py
+++ b/jasminebeam/routing/scoring.py
@@ -31,6 +31,9 @@
         tells that the upstream has slowed down.
     cold_factor : float
         Largest multiple of the service time during a cold start.
+    other_domain_ms : float
+        What a request to another failure domain costs, told as a wait
+        that is accepted in its place.
     """
 
     default_service_ms: float = 5.0
@@ -38,14 +41,16 @@
     failure_ms: float = 500.0
     stall_ratio: float = 3.0
     cold_factor: float = 5.0
+    other_domain_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Means:
-    """Mean load per slot and mean service time of a set of upstreams."""
+    """Mean load per slot, service time and slowness of some upstreams."""
 
     load_per_slot: float
     service_ms: float
+    slowness: float = 1.0
 
 
 def compute_means(
@@ -54,6 +59,7 @@
     """Return the means over the upstreams that have a sample."""
     loads = 0.0
     service_ms = 0.0
+    slowness = 0.0
     count = 0
     for state in states:
         sample = state.sample
@@ -61,10 +67,11 @@
             continue
         loads += (sample.in_flight + sample.queued) / sample.slots
         service_ms += sample.service_us / 1_000
+        slowness += sample.slowness_percent / 100
         count += 1
     if not count:
         return Means(0.0, weights.default_service_ms)
-    return Means(loads / count, service_ms / count)
+    return Means(loads / count, service_ms / count, slowness / count)
 
 
 def estimate_cost_ms(
@@ -101,13 +108,18 @@
         load += state.sent_since_sample
         service_ms = trust * sample.service_us / 1_000
         service_ms += (1 - trust) * means.service_ms
+        slowness = trust * sample.slowness_percent / 100
+        service_ms *= slowness + (1 - trust) * means.slowness
         service_ms = _stalled_ms(state, service_ms, weights, now_ms)
     service_ms *= _cold_factor(state, weights, wall_ms)
     load = max(load, float(len(state.outstanding)))
     wait_ms = max(0.0, load + 1 - slots) * service_ms / slots
     busy_ms = load / slots * service_ms * _BUSY_SHARE
     failure_ms = state.failure_rate * weights.failure_ms
-    return state.round_trip_ms + service_ms + wait_ms + busy_ms + failure_ms
+    way_ms = state.round_trip_ms
+    if not state.same_domain:
+        way_ms += weights.other_domain_ms
+    return way_ms + service_ms + wait_ms + busy_ms + failure_ms
 
 
 def _stalled_ms(
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -44,6 +44,8 @@
         The node beside the upstream.
     round_trip_ms : float
         First estimate of the round trip.
+    same_domain : bool
+        True if it is in this node's failure domain.
     """
 
     __slots__ = (
@@ -55,13 +57,20 @@
         'member',
         'outstanding',
         'round_trip_ms',
+        'same_domain',
         'sample',
         'sample_ms',
         'sent_since_sample',
     )
 
-    def __init__(self, member: upstreams.Member, round_trip_ms: float) -> None:
+    def __init__(
+        self,
+        member: upstreams.Member,
+        round_trip_ms: float,
+        same_domain: bool = True,
+    ) -> None:
         self.member = member
+        self.same_domain = same_domain
         self.round_trip_ms = round_trip_ms
         self.measured = False
         self.sample: upstreams.LoadSample | None = None
@@ -224,7 +233,11 @@
         state = self._states.get(node_id)
         if state is None:
             member = self._members[self._service_of[node_id]][node_id]
-            state = UpstreamState(member, self._first_round_trip_ms(member))
+            state = UpstreamState(
+                member,
+                self._first_round_trip_ms(member),
+                member.failure_domain == self._place.failure_domain,
+            )
             self._states[node_id] = state
         return state
 
--- a/jasminebeam/settings.py
+++ b/jasminebeam/settings.py
@@ -105,6 +105,22 @@
     allowed_keys: str = ''
 
 
+class RoutingSection(_Section):
+    """Choice of the upstream.
+
+    Parameters
+    ----------
+    choices : int
+        Upstreams that the policy ``least_cost`` compares.
+    other_domain_ms : int
+        Wait in the own failure domain that is accepted rather than send
+        a request to another one.
+    """
+
+    choices: typing.Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 2
+    other_domain_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 0
+
+
 class UpstreamSection(_Section):
     """The upstream beside the node.
 
@@ -115,6 +131,8 @@
         which metrics are served.
     queue_ratio : float
         Longest queue as a multiple of the upstream's slots.
+    usable_ratio : float
+        Share of the upstream's slots that is filled.
     max_answer_bytes : int
         Largest answer body.
     load_interval_ms : int
@@ -123,6 +141,7 @@
 
     announce_port: Port = 7002
     queue_ratio: typing.Annotated[float, msgspec.Meta(ge=0, le=100)] = 4.0
+    usable_ratio: typing.Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0
     max_answer_bytes: typing.Annotated[
         int, msgspec.Meta(ge=1, le=1_048_576)
     ] = 1_048_576
@@ -189,6 +208,7 @@
     node: NodeSection
     callers: CallersSection
     peering: PeeringSection
+    routing: RoutingSection
     upstream: UpstreamSection
     operators: OperatorsSection
     platform: PlatformSection
@@ -199,6 +219,7 @@
     'node': NodeSection,
     'callers': CallersSection,
     'peering': PeeringSection,
+    'routing': RoutingSection,
     'upstream': UpstreamSection,
     'operators': OperatorsSection,
     'platform': PlatformSection,
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -8,6 +8,7 @@
 import functools
 import typing
 
+from jasminebeam.admission import pace
 from jasminebeam.admission import slots
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
@@ -20,6 +21,13 @@
     from jasminebeam.telemetry import metrics
     from jasminebeam.upstreams import client
 
+# While requests wait, the host's speed is read this often; it changes
+# every few hundred milliseconds.
+PACE_INTERVAL_S = 0.015
+
+# A check that takes longer says nothing about this moment any more.
+PACE_CHECK_TIMEOUT_S = 0.05
+
 Send = typing.Callable[[messages.Message], object]
 
 
@@ -31,6 +39,8 @@
     ----------
     queue_ratio : float
         Longest queue as a multiple of the upstream's slots.
+    usable_ratio : float
+        Share of the upstream's slots that is filled.
     key_window_ms : float
         Time for which the answers of idempotency keys are kept.
     max_keys : int
@@ -40,6 +50,7 @@
     """
 
     queue_ratio: float = 4.0
+    usable_ratio: float = 1.0
     key_window_ms: float = 120_000.0
     max_keys: int = 20_000
     registry: registry.Limits = dataclasses.field(
@@ -88,7 +99,13 @@
         self._counters = counters
         self._clock = clock
         self._client: client.UpstreamClient | None = None
-        self._slots = slots.SlotQueue(0, limits.queue_ratio)
+        self._slots = slots.SlotQueue(
+            0, limits.queue_ratio, limits.usable_ratio
+        )
+        self._pace = pace.HostPace()
+        # Requests that wait for a fresh figure of the host's speed.
+        self._unchecked: list[registry.RequestId] = []
+        self._pacing: asyncio.Task[None] | None = None
         self._registry = registry.RequestRegistry(limits.registry)
         self._keys = keys.KeyedAnswers(limits.key_window_ms, limits.max_keys)
         self._work: dict[registry.RequestId, _Work] = {}
@@ -180,6 +197,8 @@
     def on_report(self, report: upstreams.LoadReport) -> None:
         """Record the load that the upstream tells of itself."""
         self.reported_load = report.running + report.waiting
+        if report.slowness is not None:
+            self._pace.on_report(report.slowness, self._clock())
         if report.slots and report.slots != self._slots.slots:
             self._slots.slots = report.slots
 
@@ -198,12 +217,21 @@
 
     def _refuse_waiting(self, reason: verdict.Reason) -> None:
         now_ms = self._clock()
-        for request_id in self._slots.withdraw_all():
+        unchecked, self._unchecked = self._unchecked, []
+        waiting = (*unchecked, *self._slots.withdraw_all())
+        for request_id in waiting:
+            if request_id not in self._work:
+                continue
             self._finish(request_id, verdict.not_run(reason), now_ms)
 
     def sample(self, now_ms: float) -> upstreams.LoadSample:
         """Return the load at this moment."""
-        return self._slots.sample(self.phase, self.reported_load, now_ms)
+        return self._slots.sample(
+            self.phase,
+            self.reported_load,
+            self._pace.slowness(now_ms),
+            now_ms,
+        )
 
     def _on_hello(self, message: messages.Hello, send: Send) -> None:
         session = self._registry.open_session()
@@ -249,14 +277,69 @@
         if refused is not None:
             self._finish(request_id, refused, now_ms)
             return
+        if self._pace.needs_check(now_ms):
+            self._unchecked.append(request_id)
+            self._start_pacing()
+        else:
+            self._offer(request_id, work, now_ms)
+
+    def _offer(
+        self, request_id: registry.RequestId, work: _Work, now_ms: float
+    ) -> None:
+        call = work.call
+        offer = slots.Offer(
+            request_id, call.deadline_ms, work.max_wait_ms, call.priority
+        )
         decision = self._slots.offer(
-            request_id, work.call.deadline_ms, work.max_wait_ms, now_ms
+            offer, self._pace.slowness(now_ms), now_ms
         )
         if decision.step is slots.Step.START:
             self._start(request_id, now_ms)
         elif decision.step is slots.Step.REFUSE:
             refused = verdict.not_run(decision.reason)
             self._finish(request_id, refused, now_ms)
+        else:
+            self._start_pacing()
+
+    def _start_pacing(self) -> None:
+        if self._pacing is None or self._pacing.done():
+            self._pacing = asyncio.create_task(self._keep_pace())
+
+    async def _keep_pace(self) -> None:
+        """Follow the host's speed while requests wait for it."""
+        while self._unchecked or self._slots.queued:
+            if self._pace.needs_check(self._clock()):
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(PACE_CHECK_TIMEOUT_S):
+                        await self.check()
+            unchecked, self._unchecked = self._unchecked, []
+            now_ms = self._clock()
+            for request_id in unchecked:
+                self._offer_checked(request_id, now_ms)
+            self._advance(
+                self._slots.fill(self._pace.slowness(now_ms), now_ms), now_ms
+            )
+            if not self._unchecked:
+                await asyncio.sleep(PACE_INTERVAL_S)
+
+    def _offer_checked(
+        self, request_id: registry.RequestId, now_ms: float
+    ) -> None:
+        work = self._work.get(request_id)
+        if work is None:
+            return
+        refused = self._check_ready(work.call)
+        if refused is not None:
+            self._finish(request_id, refused, now_ms)
+        else:
+            self._offer(request_id, work, now_ms)
+
+    def _advance(self, released: slots.Released, now_ms: float) -> None:
+        for late in released.expired:
+            reason = verdict.Reason.DEADLINE
+            self._finish(late, verdict.not_run(reason), now_ms)
+        for waiting in released.start:
+            self._start(waiting, now_ms)
 
     def _check_ready(self, call: requests.Call) -> verdict.Verdict | None:
         if self._stopping:
@@ -300,13 +383,15 @@
         result = _result_of(task)
         self._counters.runs.labels(result.outcome.value).inc()
         measured = result.outcome is verdict.Outcome.ANSWERED
-        released = self._slots.release(request_id, now_ms, measured)
+        began = self._slots.started_at(request_id)
+        if measured and began is not None:
+            started_ms, slowness = began
+            self._pace.on_completion(slowness, now_ms - started_ms)
+        released = self._slots.release(
+            request_id, self._pace.slowness(now_ms), now_ms, measured
+        )
         self._finish(request_id, result, now_ms)
-        for late in released.expired:
-            reason = verdict.Reason.DEADLINE
-            self._finish(late, verdict.not_run(reason), now_ms)
-        for waiting in released.start:
-            self._start(waiting, now_ms)
+        self._advance(released, now_ms)
 
     def _finish(
         self,
--- a/tests/test_admission/test_slots.py
+++ b/tests/test_admission/test_slots.py
@@ -12,22 +12,27 @@
 LATE_MS = 1e9
 
 
+def _offer(queue, now_ms, ticket, deadline_ms, max_wait_ms, slowness=1.0):
+    offer = slots.Offer(ticket, deadline_ms, max_wait_ms)
+    return queue.offer(offer, slowness, now_ms)
+
+
 def test_full_slots_make_requests_wait():
     """Requests beyond the slots wait, then are refused."""
     queue = slots.SlotQueue(slots=1, queue_ratio=1.0)
-    assert queue.offer('a', LATE_MS, LATE_MS, 0.0).step is slots.Step.START
-    assert queue.offer('b', LATE_MS, LATE_MS, 0.0).step is slots.Step.WAIT
-    refused = queue.offer('c', LATE_MS, LATE_MS, 0.0)
+    assert _offer(queue, 0.0, 'a', LATE_MS, LATE_MS).step is slots.Step.START
+    assert _offer(queue, 0.0, 'b', LATE_MS, LATE_MS).step is slots.Step.WAIT
+    refused = _offer(queue, 0.0, 'c', LATE_MS, LATE_MS)
     assert refused.reason is verdict.Reason.QUEUE_FULL
 
 
 def test_release_starts_the_next_and_drops_late_ones():
     """A free slot goes to the first request that is not too late."""
     queue = slots.SlotQueue(slots=1, queue_ratio=2.0)
-    queue.offer('a', LATE_MS, LATE_MS, 0.0)
-    queue.offer('b', 50.0, LATE_MS, 0.0)
-    queue.offer('c', LATE_MS, LATE_MS, 0.0)
-    released = queue.release('a', 60.0, measured=True)
+    _offer(queue, 0.0, 'a', LATE_MS, LATE_MS)
+    _offer(queue, 0.0, 'b', 50.0, LATE_MS)
+    _offer(queue, 0.0, 'c', LATE_MS, LATE_MS)
+    released = queue.release('a', 1.0, 60.0, measured=True)
     assert released.start == ('c',)
     assert released.expired == ('b',)
 
@@ -35,16 +40,18 @@
 def test_request_that_would_miss_its_deadline_is_refused():
     """The predicted wait decides before anything is queued."""
     queue = slots.SlotQueue(slots=1, queue_ratio=5.0)
-    queue.offer('a', LATE_MS, LATE_MS, 0.0)
-    refused = queue.offer('b', queue.predicted_wait_ms(0.0), LATE_MS, 0.0)
+    _offer(queue, 0.0, 'a', LATE_MS, LATE_MS)
+    refused = queue.offer(
+        slots.Offer('b', queue.predicted_wait_ms(0.0), LATE_MS), 1.0, 0.0
+    )
     assert refused.reason is verdict.Reason.WOULD_MISS_DEADLINE
 
 
 def test_wait_beyond_what_the_ingress_accepts_is_refused():
     """The refusal comes before anything is queued."""
     queue = slots.SlotQueue(slots=1, queue_ratio=5.0)
-    queue.offer('a', LATE_MS, 0.0, 0.0)
-    refused = queue.offer('b', LATE_MS, 1.0, 0.0)
+    _offer(queue, 0.0, 'a', LATE_MS, 0.0)
+    refused = _offer(queue, 0.0, 'b', LATE_MS, 1.0)
     assert refused.reason is verdict.Reason.BUSY
     assert queue.queued == 0
 
@@ -53,19 +60,19 @@
     """A stall shows before any of the slow requests has ended."""
     queue = slots.SlotQueue(slots=4, queue_ratio=5.0)
     for ticket in range(4):
-        queue.offer(ticket, LATE_MS, LATE_MS, 0.0)
+        _offer(queue, 0.0, ticket, LATE_MS, LATE_MS)
     assert queue.service_ms(3.0) == slots.INITIAL_SERVICE_MS
     assert queue.service_ms(60.0) == 80.0
-    queue.release(0, 60.0, measured=True)
+    queue.release(0, 1.0, 60.0, measured=True)
     assert queue.service_ms(60.0) == 60.0
 
 
 def test_sample_counts_exactly():
     """The sample shows flight, queue and the oldest request."""
     queue = slots.SlotQueue(slots=1, queue_ratio=1.0)
-    queue.offer('a', LATE_MS, LATE_MS, 0.0)
-    queue.offer('b', LATE_MS, LATE_MS, 1.0)
-    sample = queue.sample(upstreams.Phase.READY, -1, 4.0)
+    _offer(queue, 0.0, 'a', LATE_MS, LATE_MS)
+    _offer(queue, 1.0, 'b', LATE_MS, LATE_MS)
+    sample = queue.sample(upstreams.Phase.READY, -1, 1.0, 4.0)
     assert (sample.in_flight, sample.queued) == (1, 1)
     assert sample.oldest_us == 4_000
 
@@ -88,12 +95,14 @@
     for number, (step, ticket, passed_ms) in enumerate(steps):
         now_ms += passed_ms
         if step == 'offer':
-            decision = queue.offer(number, now_ms + 50.0, 50.0, now_ms)
+            decision = queue.offer(
+                slots.Offer(number, now_ms + 50.0, 50.0), 1.0, now_ms
+            )
             if decision.step is slots.Step.START:
                 flying.add(number)
         elif step == 'release' and flying:
             done = flying.pop()
-            flying.update(queue.release(done, now_ms, True).start)
+            flying.update(queue.release(done, 1.0, now_ms, True).start)
         else:
             queue.withdraw(ticket)
         assert queue.in_flight == len(flying) <= 2
--- a/tests/test_membership/test_table.py
+++ b/tests/test_membership/test_table.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import random
 
+import msgspec
+
 from jasminebeam.membership import rumors
 from jasminebeam.membership import table
 from jasminebeam.model import upstreams
@@ -13,7 +14,7 @@
 
 def _member(name, **changes):
     first = upstreams.Member(name, name, 'd', 'r', 1, 1)
-    return dataclasses.replace(first, **changes)
+    return msgspec.structs.replace(first, **changes)
 
 
 def test_counts_and_digests_follow_any_changes():
--- a/tests/test_routing/test_probing.py
+++ b/tests/test_routing/test_probing.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
@@ -20,7 +20,9 @@
 def _states(count):
     first = upstreams.Member('0', '0', 'a', 'r', 1, 1)
     return [
-        table.UpstreamState(dataclasses.replace(first, node_id=str(n)), 1.0)
+        table.UpstreamState(
+            msgspec.structs.replace(first, node_id=str(n)), 1.0
+        )
         for n in range(count)
     ]
 
