Notice a reset in one read with an unframed answer; log each decision

Ruled out: a reset after the header has been read, which was noticed. Change: the connection itself remembers how it ended.

--- a/jasminebeam/admission/pace.py
+++ b/jasminebeam/admission/pace.py
@@ -44,6 +44,10 @@
         """True once the upstream has told its host's slowness."""
         return self._reported_ms > float('-inf')
 
+    def age_ms(self, now_ms: float) -> int:
+        """Return the age of the figure; -1 if there is none."""
+        return round(now_ms - self._reported_ms) if self.reported else -1
+
     def on_report(self, slowness: float, now_ms: float) -> None:
         """Record a figure."""
         self._slowness = slowness
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -12,6 +12,7 @@
 from jasminebeam.ingress import backoff
 from jasminebeam.model import requests
 from jasminebeam.model import routes
+from jasminebeam.telemetry import events
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
@@ -45,6 +46,8 @@
         Returns the monotonic time in ms.
     generator : random.Random
         Spreads the callers' return.
+    log : EventLog
+        Receives requests that no route matches.
     counters : Metrics
         Counts latencies and refused requests.
     """
@@ -58,6 +61,7 @@
         limits: routes.CallerLimits,
         clock: typing.Callable[[], float],
         generator: random.Random,
+        log: events.EventLog,
         counters: metrics.Metrics,
     ) -> None:
         self._matcher = matcher
@@ -67,6 +71,7 @@
         self._own_limits = limits
         self._clock = clock
         self._generator = generator
+        self._log = log
         self._counters = counters
         self._runner: web.ServerRunner | None = None
         self._open = 0
@@ -120,7 +125,7 @@
         started_ms = self._clock()
         match = self._matcher.route(request.host, request.method, request.path)
         if match is None:
-            return self._refuse_unmatched()
+            return self._refuse_unmatched(request)
         body = await self._read_body(request)
         call = self._call_from(request, match, body, started_ms)
         result = await self._dispatcher.dispatch(call, match.service)
@@ -135,7 +140,13 @@
         )
         return self._dialect.write_verdict(result, retry_after_ms)
 
-    def _refuse_unmatched(self) -> web.Response:
+    def _refuse_unmatched(self, request: web.BaseRequest) -> web.Response:
+        self._log.write(
+            events.Event.REQUEST_UNMATCHED,
+            host=request.host,
+            path=request.path,
+            revision=self._matcher.revision,
+        )
         if not self._matcher.revision:
             result = verdict.not_run(verdict.Reason.NO_CONFIGURATION)
             retry_after_ms = backoff.FIRST_CONFIGURATION_MS
@@ -183,6 +194,8 @@
             max_attempts=match.max_attempts,
             objective_ms=started_ms + objective_ms,
             priority=match.priority,
+            route=match.route,
+            revision=match.revision,
         )
 
 
--- a/jasminebeam/cmd/node.py
+++ b/jasminebeam/cmd/node.py
@@ -83,6 +83,7 @@
             log_config=False,
             catch_signals=(),
         )
+        handler.flush()
     return 0
 
 
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -57,6 +57,7 @@
     peer: peers.Peer
     attempt: peers.Attempt
     hedge: bool
+    sent_ms: float
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -140,8 +141,25 @@
         finally:
             self._withdraw(progress)
         self._count(service.name, result.outcome)
+        self._note_end(progress, result)
         return result
 
+    def _note_end(self, progress: _Progress, result: verdict.Verdict) -> None:
+        call = progress.call
+        now_ms = self._clocks.monotonic_ms()
+        self._log.write(
+            events.Event.REQUEST_ENDED,
+            request=call.request_id,
+            route=call.route,
+            revision=call.revision,
+            outcome=result.outcome.value,
+            reason=result.reason.value,
+            status=result.answer.status if result.answer else 0,
+            attempts=progress.attempts,
+            took_ms=round(now_ms - progress.started_ms, 1),
+            left_ms=round(call.deadline_ms - now_ms, 1),
+        )
+
     def _count(self, service: str, outcome: verdict.Outcome) -> None:
         name = (service, outcome)
         counter = self._outcomes.get(name)
@@ -251,12 +269,34 @@
             progress.patient,
         )
         attempt = peer.submit(call, wait_ms)
-        sending = _Sending(token, state, peer, attempt, hedge)
+        self._note_sent(progress, state, wait_ms, now_ms)
+        sending = _Sending(token, state, peer, attempt, hedge, now_ms)
         progress.sendings[attempt.future] = sending
         progress.tried.add(member.node_id)
         progress.attempts += 1
         return None
 
+    def _note_sent(
+        self,
+        progress: _Progress,
+        state: table.UpstreamState,
+        wait_ms: float,
+        now_ms: float,
+    ) -> None:
+        sample = state.sample
+        self._log.write(
+            events.Event.ATTEMPT_SENT,
+            request=progress.call.request_id,
+            service=progress.service.name,
+            attempt=progress.attempts + 1,
+            member=state.member.node_id,
+            sample_age_ms=round(now_ms - state.sample_ms) if sample else -1,
+            in_flight=sample.in_flight if sample else -1,
+            queued=sample.queued if sample else -1,
+            slowness_percent=sample.slowness_percent if sample else -1,
+            max_wait_ms=round(wait_ms),
+        )
+
     async def _next_result(self, progress: _Progress) -> verdict.Verdict:
         while True:
             timeout_ms = self._wait_ms(progress)
@@ -324,6 +364,14 @@
         now_ms: float,
     ) -> None:
         state = sending.state
+        self._log.write(
+            events.Event.ATTEMPT_ENDED,
+            request=sending.attempt.call.request_id,
+            member=state.member.node_id,
+            outcome=result.outcome.value,
+            reason=result.reason.value,
+            took_ms=round(now_ms - sending.sent_ms, 1),
+        )
         if state.on_result(sending.token, result, now_ms):
             self._counters.ejections.labels(service).inc()
             self._log.write(
--- a/jasminebeam/model/requests.py
+++ b/jasminebeam/model/requests.py
@@ -40,6 +40,10 @@
         Monotonic instant until which an answer has its full value.
     priority : int
         Rank under overload; 0 is served first.
+    route : str
+        Name of the route that matched, for logs.
+    revision : int
+        Revision of the configuration that the route comes from.
     """
 
     request_id: str
@@ -54,6 +58,8 @@
     max_attempts: int = 4
     objective_ms: float = math.inf
     priority: int = 255
+    route: str = ''
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -100,6 +100,7 @@
                 queue_ratio=settings.upstream.queue_ratio,
                 usable_ratio=settings.upstream.usable_ratio,
             ),
+            self.log,
             self.metrics,
             clock.monotonic_ms,
         )
@@ -356,6 +357,7 @@
             ),
             clock.monotonic_ms,
             self.generator,
+            self.log,
             self.metrics,
         )
 
--- a/jasminebeam/platform/program.py
+++ b/jasminebeam/platform/program.py
@@ -104,4 +104,5 @@
     handler = events.open_handler(telemetry.log_format, telemetry.log_level)
     with handler.applicationbound():
         uvloop.run(_serve(path, checked))
+        handler.flush()
     return 0
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -15,6 +15,7 @@
 from jasminebeam.peering import messages
 from jasminebeam.retries import keys
 from jasminebeam.retries import registry
+from jasminebeam.telemetry import events
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
@@ -77,6 +78,8 @@
         Random number of this process; part of each request's identity.
     limits : Limits
         Bounds of state and queue.
+    log : EventLog
+        Receives refusals, starts and ends.
     counters : Metrics
         Counters of refusals and runs.
     clock : callable
@@ -87,6 +90,7 @@
         self,
         boot_id: int,
         limits: Limits,
+        log: events.EventLog,
         counters: metrics.Metrics,
         clock: typing.Callable[[], float],
     ) -> None:
@@ -96,6 +100,7 @@
         self.reported_load = -1
         self._stopping = False
         self._limits = limits
+        self._log = log
         self._counters = counters
         self._clock = clock
         self._client: client.UpstreamClient | None = None
@@ -366,6 +371,12 @@
         if not self._registry.start(request_id, now_ms):
             raise AssertionError(f'request {request_id} started twice')
         self._counters.wait.observe((now_ms - work.accepted_ms) / 1_000)
+        self._log.write(
+            events.Event.REQUEST_STARTED,
+            request=work.call.request_id,
+            waited_ms=round(now_ms - work.accepted_ms, 1),
+            **self._inputs(now_ms),
+        )
         timeout_ms = work.call.deadline_ms - now_ms
         work.task = asyncio.create_task(
             self._client.run(work.call, timeout_ms)
@@ -390,6 +401,15 @@
         released = self._slots.release(
             request_id, self._pace.slowness(now_ms), now_ms, measured
         )
+        work = self._work[request_id]
+        self._log.write(
+            events.Event.RUN_ENDED,
+            request=work.call.request_id,
+            outcome=result.outcome.value,
+            reason=result.reason.value,
+            status=result.answer.status if result.answer else 0,
+            took_ms=round(now_ms - began[0], 1) if began else -1,
+        )
         self._finish(request_id, result, now_ms)
         self._advance(released, now_ms)
 
@@ -405,10 +425,28 @@
             self._keys.settle(work.call.key, result, now_ms)
         if result.outcome is verdict.Outcome.NOT_RUN:
             self._counters.refusals.labels(result.reason.value).inc()
+            self._log.write(
+                events.Event.REQUEST_REFUSED,
+                request=work.call.request_id,
+                reason=result.reason.value,
+                waited_ms=round(now_ms - work.accepted_ms, 1),
+                **self._inputs(now_ms),
+            )
         self._report(request_id, result, work.send)
         if not self._work:
             self._idle.set()
 
+    def _inputs(self, now_ms: float) -> dict[str, object]:
+        """Return what decides about a request, for logs."""
+        return {
+            'in_flight': self._slots.in_flight,
+            'queued': self._slots.queued,
+            'slots': self._slots.usable,
+            'slowness': self._pace.slowness(now_ms),
+            'report_age_ms': self._pace.age_ms(now_ms),
+            'phase': self.phase.name.lower(),
+        }
+
     def _on_cancel(self, message: messages.Cancel, send: Send) -> None:
         request_id = (message.session, message.sequence)
         if message.boot_id != self.boot_id:
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -6,13 +6,14 @@
 import contextlib
 import dataclasses
 import enum
-import json
 import sys
 import typing
 
 import logbook
+import msgspec
 
 from jasminebeam import clock
+from jasminebeam.telemetry import output
 
 if typing.TYPE_CHECKING:
     from jasminebeam.telemetry import metrics
@@ -67,6 +68,13 @@
     UPSTREAM_EJECTED = EventKind(
         600, logbook.WARNING, 'upstream ejected from selection'
     )
+    ATTEMPT_SENT = EventKind(700, logbook.INFO, 'attempt sent')
+    ATTEMPT_ENDED = EventKind(701, logbook.INFO, 'attempt ended')
+    REQUEST_ENDED = EventKind(702, logbook.INFO, 'request ended')
+    REQUEST_UNMATCHED = EventKind(703, logbook.INFO, 'no route matches')
+    REQUEST_REFUSED = EventKind(710, logbook.INFO, 'request refused here')
+    REQUEST_STARTED = EventKind(711, logbook.INFO, 'handed to the upstream')
+    RUN_ENDED = EventKind(712, logbook.INFO, 'run at the upstream ended')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,8 +128,8 @@
                 queue.put_nowait(record)
 
 
-def open_handler(log_format: str, level: str) -> logbook.Handler:
-    """Return a handler that writes events to standard error.
+def open_handler(log_format: str, level: str) -> output.LineHandler:
+    """Return a handler that writes events to standard output.
 
     Parameters
     ----------
@@ -130,15 +138,15 @@
     level : str
         Name of the lowest level that is written.
     """
-    handler = logbook.StreamHandler(
-        sys.stderr, level=logbook.lookup_level(level.upper())
+    handler = output.LineHandler(
+        sys.stdout.fileno(), level=logbook.lookup_level(level.upper())
     )
     handler.formatter = _format_json if log_format == 'json' else _format_text
     return handler
 
 
 def _format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
-    return json.dumps(
+    line = msgspec.json.encode(
         {
             'time': record.time.isoformat(timespec='milliseconds'),
             'level': record.level_name,
@@ -147,8 +155,9 @@
             'text': record.message,
             **record.extra.get('fields', {}),
         },
-        default=str,
+        enc_hook=str,
     )
+    return line.decode()
 
 
 def _format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextvars
+import functools
 import re
 import typing
 
 import aiohttp
+from aiohttp import client_proto
 import yarl
 
 from jasminebeam.model import requests
@@ -15,8 +17,6 @@
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
-    from aiohttp import client_proto
-
     from jasminebeam.upstreams import dialect as dialect_module
 
 _SKIPPED_HEADERS = ('User-Agent', 'Accept-Encoding', 'Accept', 'Content-Type')
@@ -50,9 +50,24 @@
         """Close the connections."""
 
 
+class _Protocol(client_proto.ResponseHandler):
+    """Remembers how the connection ended."""
+
+    was_reset = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note a reset; the base class forgets it on release."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
 class CheckedConnector(aiohttp.TCPConnector):
     """Reuses no connection on which bytes wait that nobody asked for."""
 
+    def __init__(self, **options: typing.Any) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(_Protocol, loop=self._loop)
+
     async def connect(
         self, *args: typing.Any, **kwargs: typing.Any
     ) -> aiohttp.connector.Connection:
@@ -69,8 +84,8 @@
         self._keepalive_timeout = idle_s
 
 
-_protocol: contextvars.ContextVar[client_proto.ResponseHandler | None] = (
-    contextvars.ContextVar('protocol', default=None)
+_protocol: contextvars.ContextVar[_Protocol | None] = contextvars.ContextVar(
+    'protocol', default=None
 )
 
 
@@ -223,11 +238,11 @@
 
 def _is_cut(
     response: aiohttp.ClientResponse,
-    protocol: client_proto.ResponseHandler | None,
+    protocol: _Protocol | None,
 ) -> bool:
     """Return True if an answer without a length ended with a reset."""
     if response.content_length is not None or protocol is None:
         return False
     if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
         return False
-    return isinstance(protocol.exception(), aiohttp.ClientOSError)
+    return protocol.was_reset
--- a/tests/test_upstreams/test_client.py
+++ b/tests/test_upstreams/test_client.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
+import aiohttp
 import pytest
 
 from jasminebeam.model import requests
@@ -21,6 +24,8 @@
         self.port = ports.free_port()
         self.answer = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
         self.close_after = False
+        self.reset_after = False
+        self.late = b''
         self.heads = []
         self.server = None
 
@@ -40,9 +45,24 @@
             if self.close_after:
                 break
             writer.write(self.answer)
+            if self.late:
+                await asyncio.sleep(0.02)
+                writer.write(self.late)
+            if self.reset_after:
+                await asyncio.sleep(0.02)
+                _reset(writer)
+                return
         writer.close()
 
 
+def _reset(writer):
+    raw = writer.get_extra_info('socket')
+    raw.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
 @pytest.fixture
 async def upstream():
     """Provide a raw upstream."""
@@ -124,3 +144,48 @@
     assert head.startswith('GET /x?y=1 HTTP/1.1\r\n')
     assert 'Jasminebeam-Timeout-Ms: 5000' in head
     assert 'X-Request-Id: id' in head
+
+
+async def test_unframed_answer_that_is_reset_is_not_complete(upstream, tested):
+    """Without a length only a clean end shows that nothing is missing."""
+    upstream.answer = b'HTTP/1.1 200 OK\r\n\r\nhalf'
+    upstream.reset_after = True
+    result = await tested.run(_call(), 5_000.0)
+    assert result == verdict.may_have_run(verdict.Reason.ANSWER_TRUNCATED)
+
+
+async def test_reset_in_one_read_with_the_answer_is_noticed(
+    upstream, tested, monkeypatch
+):
+    """Data and reset can be there before the header has been looked at."""
+    upstream.answer = b'HTTP/1.1 200 OK\r\n\r\nhalf'
+    upstream.reset_after = True
+    waits = []
+    read = aiohttp.ClientResponse.start
+
+    async def start_late(response, connection):
+        waits.append(await asyncio.sleep(0.1))
+        return await read(response, connection)
+
+    monkeypatch.setattr(aiohttp.ClientResponse, 'start', start_late)
+    result = await tested.run(_call(), 5_000.0)
+    assert waits
+    assert result == verdict.may_have_run(verdict.Reason.ANSWER_TRUNCATED)
+
+
+async def test_answer_that_ends_early_is_not_complete(upstream, tested):
+    """Less came than the length says."""
+    upstream.answer = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'
+    upstream.reset_after = True
+    result = await tested.run(_call(), 5_000.0)
+    assert result.outcome is verdict.Outcome.MAY_HAVE_RUN
+
+
+async def test_bytes_after_an_answer_are_not_the_next_answer(upstream, tested):
+    """The connection with unasked bytes on it is not used again."""
+    extra = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad'
+    upstream.late = extra
+    assert (await tested.run(_call(), 5_000.0)).answer.body == b'ok'
+    await asyncio.sleep(0.05)
+    upstream.late = b''
+    assert (await tested.run(_call(), 5_000.0)).answer.body == b'ok'
--- a/tests/world.py
+++ b/tests/world.py
@@ -181,6 +181,7 @@
         created = sidecar.Sidecar(
             boot_id,
             sidecar.Limits(),
+            self.world.log,
             self.world.metrics,
             self.world.loop.now_ms,
         )
@@ -219,7 +220,7 @@
         generator = random.Random(seed)
         self._factory = pool.LinkFactory(self, messages.Hello('ingress', 9))
         own = sidecar.Sidecar(
-            0, sidecar.Limits(), self.metrics, self.loop.now_ms
+            0, sidecar.Limits(), self.log, self.metrics, self.loop.now_ms
         )
         self.pool = pool.PeerPool(
             'ingress',
