--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -300,7 +300,7 @@
             self.context, address, '', log, counters
         )
         own = sidecar.Sidecar(
-            1, sidecar.Limits(), counters, clock.monotonic_ms
+            1, sidecar.Limits(), log, counters, clock.monotonic_ms
         )
         own.attach(upstreams.Announcement('s', 1), _InstantUpstream())
         kinds = (messages.Hello, messages.Request, messages.Ping)
