Find an upstream by its health path; begin with patient estimates

Ruled out: the configuration, in force 0.1 s after each start. Change: the first estimate is half of the route's objective, one estimate a route; only a change of how an upstream is reached replaces the client; a node asks the health path of the upstream in its settings until it knows it.

--- a/jasminebeam/edges.py
+++ b/jasminebeam/edges.py
@@ -14,6 +14,7 @@
 
 if typing.TYPE_CHECKING:
     from jasminebeam.model import routes
+    from jasminebeam.model import upstreams
     from jasminebeam import node as node_module
     from jasminebeam import settings as settings_module
     from jasminebeam.store import store
@@ -51,6 +52,14 @@
     def matcher(self, node: node_module.Node) -> routes.Matcher:
         """Return what matches requests to services."""
 
+    def expected_upstream(
+        self, node: node_module.Node
+    ) -> upstreams.Announcement | None:
+        """Return how to reach an upstream that has not announced itself.
+
+        None if only its announcement tells.
+        """
+
     def create_store(self, counters: metrics.Metrics) -> store.Store:
         """Return the platform's store."""
 
@@ -83,6 +92,9 @@
         """Return the services in force."""
         return node.services
 
+    def expected_upstream(self, node: node_module.Node) -> None:
+        """Return None: an upstream announces itself."""
+
     def create_store(self, counters: metrics.Metrics) -> store.Store:
         """Return the etcd adapter, or a store that is never available."""
         platform = self._settings.platform
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import typing
 
 from jasminebeam.retries import budget
@@ -26,6 +27,11 @@
     from jasminebeam.telemetry import metrics
 
 FIRST_HEDGE_MS = 50.0
+# Routes with an objective begin with this share of it: a node that has just
+# started must not take usual requests for slow ones.
+FIRST_HEDGE_SHARE = 0.5
+# Estimates kept; configurations bring new routes all the time.
+MAX_LATENCIES = 4_096
 MIN_HEDGE_MS = 2.0
 CANCEL_GRACE_S = 0.05
 RETRY_BURST = 3.0
@@ -46,7 +52,6 @@
     retries: budget.RatioBudget
     hedges: budget.RatioBudget
     reroutes: budget.RatioBudget
-    latency: quantile.QuantileEstimate
     options: tuple[float, float, float]
 
 
@@ -65,6 +70,7 @@
     call: requests.Call
     service: services.Service
     budgets: _ServiceBudgets
+    latency: quantile.QuantileEstimate
     started_ms: float
     attempts: int = 0
     reached: int = 0
@@ -119,6 +125,7 @@
         self._counters = counters
         self._tokens = itertools.count(1)
         self._budgets: dict[str, _ServiceBudgets] = {}
+        self._latencies: dict[tuple[str, str], quantile.QuantileEstimate] = {}
         self._outcomes: dict[
             tuple[str, verdict.Outcome], prometheus_client.Counter
         ] = {}
@@ -135,7 +142,8 @@
         budgets.hedges.earn()
         budgets.reroutes.earn()
         started_ms = self._clocks.monotonic_ms()
-        progress = _Progress(call, service, budgets, started_ms)
+        latency = self._latency_of(call, service, started_ms)
+        progress = _Progress(call, service, budgets, latency, started_ms)
         try:
             result = await self._attempt_all(progress)
         finally:
@@ -179,7 +187,7 @@
                 progress.ran = result
             if result.outcome is verdict.Outcome.ANSWERED:
                 taken_ms = now_ms - progress.started_ms
-                progress.budgets.latency.add(taken_ms)
+                progress.latency.add(taken_ms)
             if progress.sendings and policy.is_worth_waiting(
                 progress.call, result, now_ms
             ):
@@ -264,7 +272,7 @@
             progress.patient = True
         wait_ms = policy.max_wait_ms(
             progress.attempts,
-            progress.budgets.latency.value_ms,
+            progress.latency.value_ms,
             call.deadline_ms - now_ms,
             progress.patient,
         )
@@ -318,7 +326,7 @@
         if progress.hedged:
             return left_ms
         hedge_at_ms = progress.started_ms + max(
-            MIN_HEDGE_MS, progress.budgets.latency.value_ms
+            MIN_HEDGE_MS, progress.latency.value_ms
         )
         return min(left_ms, max(0.0, hedge_at_ms - now_ms))
 
@@ -406,6 +414,24 @@
             sending.state.on_result(sending.token, cancelled, now_ms)
         progress.sendings.clear()
 
+    def _latency_of(
+        self,
+        call: requests.Call,
+        service: services.Service,
+        now_ms: float,
+    ) -> quantile.QuantileEstimate:
+        name = (service.name, call.route)
+        known = self._latencies.get(name)
+        if known is None:
+            first_ms = FIRST_HEDGE_MS
+            if call.objective_ms < math.inf:
+                first_ms = FIRST_HEDGE_SHARE * (call.objective_ms - now_ms)
+            known = quantile.QuantileEstimate(service.hedge_quantile, first_ms)
+            if len(self._latencies) >= MAX_LATENCIES:
+                self._latencies.clear()
+            self._latencies[name] = known
+        return known
+
     def _budgets_of(self, service: services.Service) -> _ServiceBudgets:
         options = (
             service.retry_ratio,
@@ -418,9 +444,6 @@
                 _budget(service.retry_ratio, RETRY_BURST),
                 _budget(service.hedge_ratio, HEDGE_BURST),
                 budget.RatioBudget(REROUTE_RATIO, REROUTE_BURST),
-                quantile.QuantileEstimate(
-                    service.hedge_quantile, FIRST_HEDGE_MS
-                ),
                 options,
             )
             self._budgets[service.name] = known
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import secrets
 import typing
@@ -41,6 +42,9 @@
     from jasminebeam import settings as settings_module
 
 PROBE_TICK_S = 0.1
+
+# A restarted node looks for its upstream this often until it is there.
+FIND_INTERVAL_S = 0.1
 EXPIRE_TICK_S = 0.05
 EXPIRE_IDLE_TICK_S = 2.0
 IDLE_TICK_S = 2.0
@@ -185,11 +189,8 @@
 
     def announce_upstream(self, announcement: upstreams.Announcement) -> None:
         """Take the upstream beside the node into service."""
-        upstream_client = client.HttpUpstreamClient(
-            announcement,
-            self._settings.upstream.max_answer_bytes,
-            self._edges.upstream_dialect,
-            self.sidecar.on_report,
+        upstream_client = self._create_client(
+            announcement, self.sidecar.on_report
         )
         former = self.sidecar.attach(announcement, upstream_client)
         if former is not None:
@@ -223,6 +224,9 @@
 
     async def check_upstream(self) -> None:
         """Ask the upstream beside the node how it is, and who."""
+        if self.sidecar.announcement is None:
+            await self._find_upstream()
+            return
         health = await self.sidecar.check()
         announcement = self.sidecar.announcement
         if announcement is not None and announcement.load_path:
@@ -237,6 +241,37 @@
         if health.healthy:
             self._follow(life.on_identity(health.upstream_id, known))
 
+    async def _find_upstream(self) -> None:
+        """Take an upstream into service that was there before the node."""
+        expected = self._edges.expected_upstream(self)
+        if expected is None:
+            return
+        reports: list[upstreams.LoadReport] = []
+        asking = self._create_client(expected, reports.append)
+        try:
+            health = await asking.check()
+        finally:
+            await asking.close()
+        if self.sidecar.announcement is not None or health is None:
+            return
+        if not (health.healthy and health.upstream_id and reports):
+            return
+        announcement = dataclasses.replace(expected, slots=reports[0].slots)
+        life = self.upstream_life
+        self._follow(life.on_identity(health.upstream_id, announcement))
+
+    def _create_client(
+        self,
+        announcement: upstreams.Announcement,
+        on_report: typing.Callable[[upstreams.LoadReport], None],
+    ) -> client.HttpUpstreamClient:
+        return client.HttpUpstreamClient(
+            announcement,
+            self._settings.upstream.max_answer_bytes,
+            self._edges.upstream_dialect,
+            on_report,
+        )
+
     def _note_reachable(self, reachable: bool) -> None:
         if reachable == self._upstream_reachable:
             return
@@ -445,7 +480,8 @@
     async def _read_load(self) -> None:
         interval_s = self._settings.upstream.load_interval_ms / 1_000
         while True:
-            await asyncio.sleep(interval_s)
+            known = self.sidecar.announcement is not None
+            await asyncio.sleep(interval_s if known else FIND_INTERVAL_S)
             await self.check_upstream()
 
     async def _close_former(self, former: client.UpstreamClient) -> None:
--- a/jasminebeam/platform/edges.py
+++ b/jasminebeam/platform/edges.py
@@ -6,6 +6,7 @@
 
 from jasminebeam.configuration import watcher
 from jasminebeam import edges
+from jasminebeam.model import upstreams as upstreams_model
 from jasminebeam.platform import callers
 from jasminebeam.platform import configuration
 from jasminebeam.platform import servers
@@ -50,6 +51,23 @@
         """Return the route set in force."""
         return node.route_sets
 
+    def expected_upstream(
+        self, node: node_module.Node
+    ) -> upstreams_model.Announcement | None:
+        """Return the upstream that the settings name."""
+        adapter = self._settings.adapter
+        health_path = node.route_sets.health_path(adapter.service)
+        if not health_path:
+            return None
+        address = settings.parse_address(adapter.upstream)
+        return upstreams_model.Announcement(
+            adapter.service,
+            address.port,
+            slots=0,
+            load_path=health_path,
+            host=address.host,
+        )
+
     def create_store(self, counters: metrics.Metrics) -> store_module.Store:
         """Return the platform's store."""
         adapter = self._settings.adapter
--- a/jasminebeam/upstreams/lifecycle.py
+++ b/jasminebeam/upstreams/lifecycle.py
@@ -63,7 +63,7 @@
             return Step.NOTHING
         if beat.sequence <= known.sequence:
             return Step.NOTHING
-        changed = beat.announcement != known.announcement
+        changed = _reach(beat) != _reach(known)
         self.current = beat
         if self._draining:
             return Step.NOTHING
@@ -130,6 +130,11 @@
         return beat.started_ms > known.started_ms
 
 
+def _reach(beat: Heartbeat) -> upstreams.Announcement:
+    """Return what matters for reaching an upstream that is in service."""
+    return dataclasses.replace(beat.announcement, cold_start_ms=0)
+
+
 def _is_same_start(beat: Heartbeat, known: Heartbeat) -> bool:
     if beat.announcement.upstream_id != known.announcement.upstream_id:
         return False
