--- /dev/null
+++ b/bench/standins/platform_store.py
@@ -0,0 +1,273 @@
+"""Stand-in for the users' key-value store, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import typing
+
+from aiohttp import web
+import msgspec
+
+from jasminebeam import clock
+
+MAX_PAGE_ITEMS = 500
+MAX_WAIT_MS = 30_000
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults in force; tests set them.
+
+    Parameters
+    ----------
+    refuse_status : int
+        Status that answers each call; 0 for none.
+    silent : bool
+        Calls get no answer.
+    lose_write_answers : int
+        Writes to come that take effect without an answer.
+    page_items : int
+        Most items of a page.
+    """
+
+    refuse_status: int = 0
+    silent: bool = False
+    lose_write_answers: int = 0
+    page_items: int = MAX_PAGE_ITEMS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Item:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+class PlatformStoreStandIn:
+    """Keys with conditions, leases, pages and waiting watches.
+
+    Parameters
+    ----------
+    port : int
+        Loopback port.
+    """
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._revision = 1
+        self._items: dict[str, _Item] = {}
+        self._history: list[dict[str, typing.Any]] = []
+        self._oldest = 0
+        self._leases: dict[int, tuple[float, int]] = {}
+        self._next_lease = 1
+        self._changed = asyncio.Condition()
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get('/v1/kv-key', self._key),
+                web.get('/v1/kv-range', self._range),
+                web.get('/v1/kv-watch', self._watch),
+                web.post('/v1/kv-txn', self._txn),
+                web.post('/v1/kv-lease', self._lease),
+                web.post('/v1/kv-keep/{id}', self._keep),
+                web.delete('/v1/kv-lease-end/{id}', self._lease_end),
+            ]
+        )
+        application.middlewares.append(self._fail)
+        self._runner = web.AppRunner(
+            application, access_log=None, handler_cancellation=True
+        )
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, '127.0.0.1', self.port, reuse_address=True
+        ).start()
+
+    async def stop(self) -> None:
+        """Stop listening and cut what waits."""
+        await self._runner.cleanup()
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key and return its revision."""
+        encoded = base64.b64encode(value).decode()
+        async with self._changed:
+            self._write(key, encoded, lease)
+            self._changed.notify_all()
+        return self._revision
+
+    def value(self, key: str) -> bytes | None:
+        """Return the value of a key; None if it does not exist."""
+        self._expire()
+        item = self._items.get(key)
+        return None if item is None else base64.b64decode(item.value)
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys under a prefix."""
+        self._expire()
+        return [key for key in sorted(self._items) if key.startswith(prefix)]
+
+    async def compact(self) -> None:
+        """Forget the history and cut the waiting watches."""
+        async with self._changed:
+            self._history.clear()
+            self._oldest = self._revision
+            self._changed.notify_all()
+
+    @web.middleware
+    async def _fail(
+        self,
+        request: web.Request,
+        handler: typing.Callable[..., typing.Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        kind = request.path.split('/')[2]
+        self.calls[kind] += 1
+        if self.faults.silent:
+            await asyncio.Event().wait()
+        if self.faults.refuse_status:
+            return web.Response(status=self.faults.refuse_status)
+        response = await handler(request)
+        if kind == 'kv-txn' and self.faults.lose_write_answers:
+            self.faults.lose_write_answers -= 1
+            request.transport.abort()
+        return response
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        self._revision += 1
+        known = self._items.get(key)
+        created = known.created if known else self._revision
+        self._items[key] = _Item(value, self._revision, created, lease)
+        self._history.append(self._document(key))
+
+    def _delete(self, key: str) -> None:
+        if self._items.pop(key, None) is None:
+            return
+        self._revision += 1
+        self._history.append(
+            {'key': key, 'revision': self._revision, 'deleted': True}
+        )
+
+    def _document(self, key: str) -> dict[str, typing.Any]:
+        item = self._items[key]
+        return {
+            'key': key,
+            'value': item.value,
+            'revision': item.revision,
+            'createdRev': item.created,
+            'lease': item.lease,
+        }
+
+    def _expire(self) -> None:
+        now_ms = clock.monotonic_ms()
+        ended = {
+            lease
+            for lease, (until_ms, _) in self._leases.items()
+            if until_ms <= now_ms
+        }
+        self._end(ended)
+
+    def _end(self, ended: set[int]) -> None:
+        for lease in ended:
+            self._leases.pop(lease, None)
+        for key, item in list(self._items.items()):
+            if item.lease in ended:
+                self._delete(key)
+
+    async def _key(self, request: web.Request) -> web.Response:
+        self._expire()
+        key = request.query['key']
+        if key not in self._items:
+            return web.json_response({}, status=404)
+        document = self._document(key)
+        return web.json_response({**document, 'currentRev': self._revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        after = request.query.get('after', '')
+        keys = [
+            key for key in self.keys(request.query['prefix']) if key > after
+        ]
+        page = keys[: self.faults.page_items]
+        return web.json_response(
+            {
+                'items': [self._document(key) for key in page],
+                'truncated': len(page) < len(keys),
+                'currentRev': self._revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query['prefix']
+        after = int(request.query['after'])
+        wait_ms = int(request.query['waitMs'])
+        if wait_ms > MAX_WAIT_MS:
+            return web.json_response({}, status=400)
+
+        def found() -> bool:
+            return after < self._oldest or bool(self._since(prefix, after))
+
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    await self._changed.wait_for(found)
+            except TimeoutError:
+                pass
+            if after < self._oldest:
+                return web.json_response({}, status=410)
+            return web.json_response(
+                {
+                    'events': self._since(prefix, after),
+                    'currentRev': self._revision,
+                }
+            )
+
+    def _since(self, prefix: str, after: int) -> list[dict[str, typing.Any]]:
+        return [
+            event
+            for event in self._history
+            if event['revision'] > after and event['key'].startswith(prefix)
+        ]
+
+    async def _txn(self, request: web.Request) -> web.Response:
+        self._expire()
+        body = msgspec.json.decode(await request.read())
+        for row in body['expectedRev']:
+            item = self._items.get(row['key'])
+            if (item.revision if item else 0) != row['revision']:
+                return web.json_response({'items': []}, status=412)
+        for put in body['puts']:
+            if put.get('lease', 0) and put['lease'] not in self._leases:
+                return web.json_response({}, status=404)
+        async with self._changed:
+            for put in body['puts']:
+                self._write(put['key'], put['value'], put.get('lease', 0))
+            for key in body['deletes']:
+                self._delete(key)
+            self._changed.notify_all()
+        return web.json_response({'revision': self._revision})
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        ttl_ms = msgspec.json.decode(await request.read())['ttlMs']
+        lease = self._next_lease
+        self._next_lease += 1
+        self._leases[lease] = (clock.monotonic_ms() + ttl_ms, ttl_ms)
+        return web.json_response({'lease': lease, 'ttlMs': ttl_ms})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        self._expire()
+        lease = int(request.match_info['id'])
+        if lease not in self._leases:
+            return web.json_response({}, status=404)
+        ttl_ms = self._leases[lease][1]
+        self._leases[lease] = (clock.monotonic_ms() + ttl_ms, ttl_ms)
+        return web.json_response({'ttlMs': ttl_ms})
+
+    async def _lease_end(self, request: web.Request) -> web.Response:
+        self._end({int(request.match_info['id'])})
+        return web.json_response({})
--- /dev/null
+++ b/bench/standins/platform_upstream.py
@@ -0,0 +1,131 @@
+"""Stand-in for an upstream on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import typing
+
+import aiohttp
+from aiohttp import web
+
+WORK_S = 0.005
+
+
+class PlatformUpstreamStandIn:
+    """Runs requests, reports load and announces itself to its node.
+
+    Parameters
+    ----------
+    port : int
+        Loopback port.
+    upstream_id, service : str
+        Identity and service.
+    slots : int
+        Requests that it reports to fit at once.
+    """
+
+    def __init__(
+        self, port: int, upstream_id: str, service: str, slots: int = 9
+    ) -> None:
+        self.port = port
+        self.upstream_id = upstream_id
+        self.service = service
+        self.slots = slots
+        self.slowness_percent = 100
+        self.healthy = True
+        self.behaviour = ''
+        self.work_s = WORK_S
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.callers: set[str] = set()
+        self.left_ms: list[int] = []
+        self._running = 0
+        self._sequence = 0
+        server = web.Server(self._handle, access_log=None)
+        self._runner = web.ServerRunner(server, handler_cancellation=True)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, '127.0.0.1', self.port, reuse_address=True
+        ).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def beat(
+        self, address: str, state: str = 'ready', born: int = 1, **changes: int
+    ) -> int:
+        """Send one heartbeat and return its status."""
+        self._sequence += 1
+        document = {
+            'address': f'127.0.0.1:{self.port}',
+            'info': {
+                'service': self.service,
+                'version': 'v1',
+                'zone': 'a',
+                'slots': self.slots,
+            },
+            'status': {
+                'state': state,
+                'sequence': changes.get('sequence', self._sequence),
+                'coldRemainingMs': 0,
+            },
+            'born': born,
+        }
+        url = f'http://{address}/v1/instances/{self.upstream_id}'
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, json=document) as response:
+                return response.status
+
+    async def leave(self, address: str) -> int:
+        """Say that it leaves and return the status."""
+        url = f'http://{address}/v1/instances/{self.upstream_id}'
+        async with aiohttp.ClientSession() as session:
+            async with session.delete(url) as response:
+                return response.status
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        headers = {
+            'Server-Load': f'{self._running},0,{self.slots},'
+            f'{self.slowness_percent}'
+        }
+        if request.path == '/health':
+            headers['Instance-Id'] = self.upstream_id
+            status = 200 if self.healthy else 503
+            return web.Response(status=status, headers=headers)
+        request_id = request.headers.get('Request-Id', '')
+        headers['Request-Id'] = request_id
+        expected = request.headers.get('Expect-Instance')
+        if expected not in (None, self.upstream_id):
+            return web.Response(status=421, headers=headers)
+        if self.behaviour == 'shed':
+            headers['Not-Executed'] = '1'
+            return web.Response(status=503, headers=headers)
+        return await self._run(request, request_id, headers)
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        headers: dict[str, typing.Any],
+    ) -> web.StreamResponse:
+        self.runs[request_id] += 1
+        self.callers.add(request.headers.get('Caller-Service', ''))
+        self.left_ms.append(int(request.headers['Deadline-Ms']))
+        self._running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self._running -= 1
+        if self.behaviour == 'close':
+            request.transport.abort()
+        if self.behaviour == 'other answer':
+            headers['Request-Id'] = 'another'
+        if self.behaviour == 'unmarked 503':
+            return web.Response(status=503, headers=headers)
+        if self.behaviour != 'unsigned':
+            headers['Server-Stamp'] = f'stamp-{self.upstream_id}'
+        return web.Response(body=b'whole', headers=headers)
--- /dev/null
+++ b/tests/test_admission/test_pace.py
@@ -0,0 +1,124 @@
+"""Tests of starts on hosts whose speed changes."""
+
+from __future__ import annotations
+
+import random
+
+from jasminebeam.admission import pace
+from jasminebeam.admission import slots
+from jasminebeam import verdict
+
+LATE_MS = 1e9
+
+
+def _offer(queue, ticket, max_wait_ms, slowness, now_ms, priority=0):
+    offer = slots.Offer(ticket, LATE_MS, max_wait_ms, priority)
+    return queue.offer(offer, slowness, now_ms)
+
+
+def _queue_with_service_time(service_ms, usable_ratio=1.0):
+    queue = slots.SlotQueue(9, 4.0, usable_ratio)
+    _offer(queue, 'warm', LATE_MS, 1.0, 0.0)
+    queue.release('warm', 1.0, service_ms, measured=True)
+    return queue
+
+
+def test_slow_host_sends_an_impatient_request_elsewhere():
+    """Starting now would take three service times longer."""
+    queue = _queue_with_service_time(100.0)
+    refused = _offer(queue, 'a', 50.0, 4.0, 200.0)
+    assert refused.reason is verdict.Reason.BUSY
+    assert queue.in_flight == 0
+
+
+def test_patient_request_starts_when_the_host_is_fast_again():
+    """It is held, and no longer than a slow start would cost."""
+    queue = _queue_with_service_time(100.0)
+    held = _offer(queue, 'a', LATE_MS, 4.0, 200.0)
+    assert held.step is slots.Step.WAIT
+    assert queue.fill(4.0, 300.0).start == ()
+    assert queue.fill(1.0, 310.0).start == ('a',)
+    _offer(queue, 'b', LATE_MS, 4.0, 400.0)
+    assert queue.fill(4.0, 701.0).start == ('b',)
+
+
+def test_some_slots_stay_free():
+    """The upstream slows down when nearly full."""
+    queue = _queue_with_service_time(100.0, usable_ratio=0.8)
+    steps = [_offer(queue, n, LATE_MS, 1.0, 200.0).step for n in range(8)]
+    assert steps.count(slots.Step.START) == 7
+
+
+def test_waiting_requests_start_by_rank():
+    """The more urgent one goes first, others in their order."""
+    queue = slots.SlotQueue(1, 9.0)
+    _offer(queue, 'running', LATE_MS, 1.0, 0.0)
+    for ticket, rank in (('low', 2), ('high', 0), ('mid', 1), ('high2', 0)):
+        _offer(queue, ticket, LATE_MS, 1.0, 1.0, rank)
+    order = []
+    running = 'running'
+    for _ in range(4):
+        (running,) = queue.release(running, 1.0, 5.0, True).start
+        order.append(running)
+    assert order == ['high', 'high2', 'mid', 'low']
+
+
+def test_figure_that_predicts_nothing_is_ignored():
+    """Durations show that it is idle."""
+    known = pace.HostPace()
+    known.on_report(4.0, 0.0)
+    assert known.slowness(10.0) == 4.0
+    for _ in range(pace.MIN_JUDGED):
+        known.on_completion(4.0, 100.0)
+        known.on_completion(1.0, 100.0)
+    assert known.slowness(10.0) == 1.0
+    assert not known.needs_check(1_000.0)
+
+
+def test_old_figure_says_nothing():
+    """The host's speed has changed since."""
+    known = pace.HostPace()
+    known.on_report(4.0, 0.0)
+    assert known.needs_check(pace.FRESH_MS + 1)
+    assert known.slowness(pace.STALE_MS + 1) == 1.0
+
+
+def test_upstream_that_tells_no_slowness_costs_no_checks():
+    """There is nothing to read."""
+    assert not pace.HostPace().needs_check(1_000.0)
+
+
+def test_holding_shortens_the_tail_under_noise():
+    """Replays one host that is slow a quarter of the time, four times.
+
+    A held request starts slow only if the next draw is slow as well: a
+    quarter of the slow starts is left, half with the queue's effects.
+    """
+    assert _slow_share(checked=True) < _slow_share(checked=False) / 2
+
+
+def _slow_share(checked):
+    generator = random.Random(7)
+    queue = _queue_with_service_time(100.0)
+    ends = {}
+    slow_starts = 0
+    slowness = 1.0
+    started = 0
+    for now_ms in range(1_000, 61_000, 10):
+        if now_ms % 300 == 0:
+            slowness = 4.0 if generator.random() < 0.25 else 1.0
+        known = slowness if checked else 1.0
+        done = [ticket for ticket, end in ends.items() if end <= now_ms]
+        begun = []
+        for ticket in done:
+            del ends[ticket]
+            begun += queue.release(ticket, known, now_ms, True).start
+        begun += queue.fill(known, now_ms).start
+        if now_ms % 50 == 0:
+            step = _offer(queue, now_ms, LATE_MS, known, now_ms).step
+            begun += [now_ms] if step is slots.Step.START else []
+        for ticket in begun:
+            started += 1
+            slow_starts += slowness > 1.0
+            ends[ticket] = now_ms + 100.0 * slowness
+    return slow_starts / started
--- /dev/null
+++ b/tests/test_configuration/test_routes.py
@@ -0,0 +1,82 @@
+"""Tests of the routes in force."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+from jasminebeam.configuration import routes
+from jasminebeam.model import routes as model
+from jasminebeam.model import services
+
+
+def _route(prefix='/a/', parts=(('s', 1),), host='h.example', **changes):
+    values = {
+        'name': prefix,
+        'host': host,
+        'path_prefix': prefix,
+        'services': tuple(model.WeightedService(*part) for part in parts),
+        'idempotent': True,
+        'timeout_ms': 1_000,
+    }
+    return model.Route(**{**values, **changes})
+
+
+def _set(revision, *found):
+    known = tuple(services.Service(name) for name in 'st')
+    return model.RouteSet(revision, found, known)
+
+
+def _directory(*found):
+    created = routes.RouteDirectory(random.Random(1))
+    created.apply(_set(1, *found))
+    return created
+
+
+def test_longest_prefix_of_the_host_matches():
+    """The port of the Host header does not count."""
+    known = _directory(_route('/a/'), _route('/a/b/'), _route('/', host='x'))
+    assert known.route('H.example:80', 'GET', '/a/b/c').route == '/a/b/'
+    assert known.route('h.example', 'GET', '/a/c').route == '/a/'
+    assert known.route('h.example', 'GET', '/c') is None
+
+
+def test_revisions_only_rise_and_replace_the_whole():
+    """A route that the new set does not name is gone."""
+    known = _directory(_route('/a/'))
+    assert known.apply(_set(5, _route('/b/')))
+    assert not known.apply(_set(5, _route('/a/')))
+    assert not known.apply(_set(4, _route('/a/')))
+    assert known.route('h.example', 'GET', '/a/') is None
+    assert known.route('h.example', 'GET', '/b/').revision == 5
+
+
+def test_weights_are_kept_exactly():
+    """After each hundred requests the shares are those of the weights."""
+    known = _directory(_route('/a/', (('s', 90), ('t', 10))))
+    counts = collections.Counter(
+        known.route('h.example', 'GET', '/a/').service.name for _ in range(300)
+    )
+    assert abs(counts['t'] - 30) <= 1
+
+
+def test_nodes_do_not_start_with_the_same_part():
+    """Few requests at each of many nodes have the shares as well."""
+    counts = collections.Counter()
+    for seed in range(200):
+        created = routes.RouteDirectory(random.Random(seed))
+        created.apply(_set(1, _route('/a/', (('s', 1), ('t', 1)))))
+        match = created.route('h.example', 'GET', '/a/')
+        counts[match.service.name] += 1
+    assert 70 <= counts['s'] <= 130
+
+
+def test_faulty_sets_are_described():
+    """Each fault names the route."""
+    assert routes.check(_set(1, _route())) == ''
+    assert 'slash' in routes.check(_set(1, _route('a/')))
+    assert 'not defined' in routes.check(_set(1, _route(parts=(('x', 1),))))
+    assert 'positive weight' in routes.check(
+        _set(1, _route(parts=(('s', 0),)))
+    )
+    assert 'positive' in routes.check(_set(1, _route(timeout_ms=0)))
--- /dev/null
+++ b/tests/test_platform/test_adapter.py
@@ -0,0 +1,376 @@
+"""Tests of whole nodes behind the platform's protocol, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+
+import aiohttp
+import pytest
+
+from bench.standins import platform_store
+from bench.standins import platform_upstream
+from jasminebeam import node
+from jasminebeam.platform import edges
+from jasminebeam.platform import settings
+from tests import ports
+
+TEMPLATE = pathlib.Path(__file__).parents[2] / 'deploy' / 'node.ini'
+HOST = 'camp.example'
+
+
+def configuration(version=1, path='/fee/', kind='unsafe', **action):
+    """Return the operators' value."""
+    document = {
+        'version': f'{version:08x}',
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 65_536,
+            'headerTimeoutMs': 300,
+            'idleTimeoutMs': 15_000,
+        },
+        'listeners': [
+            {
+                'host': HOST,
+                'rules': [
+                    {
+                        'name': 'r',
+                        'kind': kind,
+                        'aimMs': 400,
+                        'priority': 1,
+                        'match': {'prefix': path},
+                        'action': {
+                            'service': 'fees',
+                            'timeoutMs': 1_500,
+                            'maxAttempts': 2,
+                            **action,
+                        },
+                    }
+                ],
+            }
+        ],
+        'clusters': [
+            {'name': 'fees', 'healthPath': '/health', 'maxConnections': 99}
+        ],
+    }
+    return json.dumps(document).encode()
+
+
+class Site:
+    """A store, nodes and their upstreams in one process."""
+
+    def __init__(self):
+        self.store = platform_store.PlatformStoreStandIn(ports.free_port())
+        self.nodes = []
+        self.settings = []
+        self.upstreams = []
+        self.session = None
+
+    async def start(self):
+        """Start the store with a first configuration."""
+        await self.store.start()
+        await self.store.put('op/config', configuration())
+        self.session = aiohttp.ClientSession()
+
+    def render(self, name):
+        """Return checked settings from the deployed template."""
+        peers, metrics = ports.free_port(), ports.free_port()
+        values = {
+            'nodeId': name,
+            'ip': '127.0.0.1',
+            'zone': 'a',
+            'region': 'r',
+            'internalPorts.0': peers,
+            'internalPorts.1': metrics,
+            'listen.outbound': f'127.0.0.1:{ports.free_port()}',
+            'listen.ready': f'127.0.0.1:{ports.free_port()}',
+            'listen.control': f'127.0.0.1:{ports.free_port()}',
+            'appAddr': f'127.0.0.1:{ports.free_port()}',
+            'service': 'fees',
+            'platform.address': f'127.0.0.1:{self.store.port}',
+        }
+        text = TEMPLATE.read_text()
+        for placeholder, value in values.items():
+            text = text.replace('{{' + placeholder + '}}', str(value))
+        text = text.replace('stop_grace_ms = 2500', 'stop_grace_ms = 50')
+        return settings.parse(text).unwrap()
+
+    async def add(self, beat=True):
+        """Start an upstream and the node beside it."""
+        name = f'n{len(self.nodes)}'
+        loaded = self.render(name)
+        address = settings.parse_address(loaded.adapter.upstream)
+        beside = platform_upstream.PlatformUpstreamStandIn(
+            address.port, f'i-{name}', 'fees'
+        )
+        await beside.start()
+        self.upstreams.append(beside)
+        self.settings.append(loaded)
+        created = await self.run(loaded)
+        self.nodes.append(created)
+        if beat:
+            assert await beside.beat(loaded.adapter.announcements) == 200
+        return created
+
+    async def run(self, loaded):
+        """Start a node and wait until it is ready."""
+        created = node.Node(loaded.node, edges.PlatformEdges(loaded))
+        await created.start()
+        await eventually(lambda: created.ready)
+        return created
+
+    async def ask(self, index=0, path='/fee/1', left_ms=1_000, **headers):
+        """Send a request to a node and return status, headers and body."""
+        address = self.settings[index].adapter.callers
+        sent = {
+            'Host': HOST,
+            'Request-Id': headers.pop('request_id', 'abc'),
+            'Deadline-Ms': str(left_ms),
+            **headers,
+        }
+        async with self.session.post(
+            f'http://{address}{path}', headers=sent, data=b'x'
+        ) as response:
+            body = await response.read()
+            return response.status, response.headers, body
+
+    async def close(self):
+        """Stop everything."""
+        await self.session.close()
+        for created in self.nodes:
+            await created.stop()
+        for beside in self.upstreams:
+            await beside.stop()
+        await self.store.stop()
+
+
+async def eventually(condition, timeout_s=5.0):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def site():
+    """Provide a store with a configuration."""
+    created = Site()
+    await created.start()
+    yield created
+    await created.close()
+
+
+async def test_answer_comes_whole_with_its_signature(site):
+    """The way from the caller to the upstream and back."""
+    await site.add()
+    status, headers, body = await site.ask()
+    assert (status, body) == (200, b'whole')
+    assert headers['Server-Stamp'] == 'stamp-i-n0'
+    assert headers['Request-Id'] == 'abc'
+
+
+async def test_caller_is_the_service_of_the_host_whatever_was_sent(site):
+    """The header that callers send is replaced."""
+    await site.add()
+    await site.ask(**{'Caller-Service': 'forged'})
+    assert site.upstreams[0].callers == {'fees'}
+    assert max(site.upstreams[0].left_ms) <= 1_000
+
+
+async def test_request_goes_to_another_node(site):
+    """The second node finds the first by its seed in the store."""
+    await site.add()
+    second = await site.add(beat=False)
+    site.upstreams[1].healthy = False
+    await eventually(lambda: second.routes.members_of('fees'))
+    await eventually(lambda: len(second.membership.members()) == 2)
+    status, _, _ = await site.ask(1)
+    assert status == 200
+    assert sum(site.upstreams[0].runs.values()) == 1
+
+
+@pytest.mark.parametrize(
+    ('behaviour', 'expected'),
+    [
+        ('shed', 503),
+        ('close', 502),
+        ('other answer', 502),
+        ('unsigned', 502),
+        ('unmarked 503', 502),
+    ],
+)
+async def test_only_what_did_not_run_is_refused(site, behaviour, expected):
+    """503 promises that nothing ran; all else says nothing."""
+    await site.add()
+    site.upstreams[0].behaviour = behaviour
+    status, headers, _ = await site.ask()
+    assert status == expected
+    assert ('Retry-After' in headers) == (expected == 503)
+    assert sum(site.upstreams[0].runs.values()) <= 1
+
+
+async def test_hand_over_names_the_upstream_that_is_meant(site):
+    """Another upstream at the address runs nothing."""
+    await site.add()
+    site.upstreams[0].upstream_id = 'i-other'
+    status, _, _ = await site.ask()
+    assert status == 503
+    assert not site.upstreams[0].runs
+    await eventually(lambda: site.nodes[0].upstream_life.current is not None)
+    beside = site.nodes[0].sidecar
+    await eventually(
+        lambda: (
+            beside.announcement
+            and beside.announcement.upstream_id == 'i-other'
+        )
+    )
+    assert (await site.ask(request_id='again'))[0] == 200
+
+
+async def test_unknown_route_is_404_only_with_a_configuration(site):
+    """A node without one promises that nothing ran."""
+    await site.add()
+    assert (await site.ask(path='/none/'))[0] == 404
+    site.store.faults.refuse_status = 503
+    loaded = site.render('alone')
+    created = node.Node(loaded.node, edges.PlatformEdges(loaded))
+    await created.start()
+    site.nodes.append(created)
+    site.settings.append(loaded)
+    status, headers, _ = await site.ask(1, path='/none/')
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
+    assert not created.ready
+
+
+async def test_acknowledged_drain_ends_the_work(site):
+    """After the answer to the notice nothing more reaches it."""
+    await site.add()
+    beside = site.upstreams[0]
+    address = site.settings[0].adapter.announcements
+    assert await beside.beat(address, state='draining') == 200
+    assert (await site.ask())[0] == 503
+    assert await beside.beat(address, sequence=1) == 200
+    assert (await site.ask())[0] == 503
+    assert not beside.runs
+
+
+async def test_leaving_without_a_drain_ends_the_work(site):
+    """A late heartbeat of the same start does not bring it back."""
+    await site.add()
+    beside = site.upstreams[0]
+    address = site.settings[0].adapter.announcements
+    assert await beside.leave(address) == 200
+    await beside.beat(address)
+    assert (await site.ask())[0] == 503
+    await beside.beat(address, born=2, sequence=1)
+    assert (await site.ask(request_id='later'))[0] == 200
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{',
+        b'[]',
+        b'{"address":"127.0.0.1:1","info":{"service":"fees"}}',
+        b'{"address":7,"info":{"service":"fees","slots":1},'
+        b'"status":{"state":"ready","sequence":9}}',
+        b'{"address":"127.0.0.1:1","info":{"service":"else","slots":1},'
+        b'"status":{"state":"ready","sequence":9}}',
+        b'{"address":"127.0.0.1:1","info":{"service":"fees","slots":1},'
+        b'"status":{"state":"gone","sequence":9}}',
+    ],
+)
+async def test_malformed_heartbeat_changes_nothing(site, body):
+    """It gets a clear error; the upstream in service stays."""
+    await site.add()
+    address = site.settings[0].adapter.announcements
+    async with site.session.put(
+        f'http://{address}/v1/instances/i-x', data=body
+    ) as response:
+        assert response.status == 400
+        assert (await response.json())['error']
+    assert (await site.ask())[0] == 200
+
+
+async def test_refused_configuration_leaves_the_former_in_force(site):
+    """What can't be read or is older changes nothing."""
+    created = await site.add()
+    await site.store.put('op/config', configuration(5, '/new/'))
+    await eventually(lambda: created.route_sets.revision == 5)
+    await site.store.put('op/config', b'{"version":')
+    await site.store.put('op/config', configuration(6, service='unknown'))
+    await site.store.put('op/config', configuration(4))
+    await site.store.put('op/config', configuration(7, '/last/'))
+    await eventually(lambda: created.route_sets.revision == 7)
+    assert (await site.ask(path='/new/'))[0] == 404
+    assert (await site.ask(path='/last/'))[0] == 200
+
+
+async def test_forgotten_history_is_read_anew(site):
+    """A cut watch with a gap loses no change."""
+    created = await site.add()
+    await site.store.compact()
+    await site.store.put('op/config', configuration(9))
+    await eventually(lambda: created.route_sets.revision == 9)
+
+
+async def test_routes_come_from_a_peer_while_the_store_is_away(site):
+    """A node that can't reach the store learns them by gossip."""
+    first = await site.add()
+    loaded = site.render('late')
+    created = node.Node(loaded.node, edges.PlatformEdges(loaded))
+    site.store.faults.refuse_status = 503
+    await created.start()
+    site.nodes.append(created)
+    site.settings.append(loaded)
+    created.membership.join([first.membership.me.address])
+    await eventually(lambda: created.route_sets.revision == 1)
+    assert created.ready
+
+
+async def test_lost_answer_to_a_write_does_no_harm(site):
+    """The seed is written again under another lease."""
+    site.store.faults.lose_write_answers = 1
+    await site.add()
+    await eventually(lambda: site.store.keys('jasminebeam/seeds/'))
+
+
+async def test_restarted_node_finds_its_upstream_by_itself(site):
+    """It does not wait for the next heartbeat."""
+    first = await site.add()
+    await first.stop()
+    second = await site.run(site.settings[0])
+    site.nodes = [second]
+    await eventually(lambda: second.sidecar.announcement is not None)
+    assert (await site.ask())[0] == 200
+
+
+async def test_request_on_a_slow_host_goes_to_a_fast_one(site):
+    """The sidecar reads the host's speed right before the start."""
+    await site.add()
+    second = await site.add()
+    slow, fast = site.upstreams
+    for beside in site.upstreams:
+        beside.work_s = 0.05
+    await eventually(lambda: len(second.routes.members_of('fees')) == 2)
+    for number in range(4):
+        await site.ask(0, request_id=f'warm-{number}')
+    slow.slowness_percent = 400
+    before = sum(slow.runs.values())
+    for number in range(8):
+        assert (await site.ask(0, request_id=f'r{number}'))[0] == 200
+    assert sum(slow.runs.values()) - before <= 1
+    assert sum(fast.runs.values()) >= 7
+
+
+async def test_header_that_never_ends_is_cut_off(site):
+    """The limit of the configuration bounds it."""
+    await site.add()
+    address = settings.parse_address(site.settings[0].adapter.callers)
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(b'POST /fee/1 HTTP/1.1\r\nHost: x\r\n')
+    async with asyncio.timeout(2.0):
+        assert await reader.read() == b''
+    writer.close()
