Order waiting requests by rank and objective; know service times by route

Change: the earlier objective goes first within a rank; a hold lasts as long as a slow start costs a request of the same route.

--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -5,6 +5,7 @@
 import bisect
 import dataclasses
 import enum
+import math
 
 from jasminebeam.admission import pace
 from jasminebeam.model import upstreams
@@ -12,6 +13,9 @@
 
 SERVICE_TIME_WEIGHT = 0.1
 
+# Routes whose service times are kept; configurations bring new ones.
+MAX_ROUTES = 1_024
+
 # A slow host is back at its usual speed within this time, so that a start
 # is put off no longer; it is also the longest hold of one request.
 MAX_HOLD_MS = 400.0
@@ -56,12 +60,16 @@
         Monotonic instant from which it starts on a slow host as well.
     priority : int
         Rank; 0 is started first.
+    objective_ms, route
+        As in `Offer`.
     """
 
     ticket: object
     deadline_ms: float
     start_by_ms: float = 0.0
     priority: int = 0
+    objective_ms: float = math.inf
+    route: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,12 +86,19 @@
         Longest predicted wait that the ingress node accepts.
     priority : int
         Rank; 0 is started first.
+    objective_ms : float
+        Monotonic instant until which an answer has its full value; the
+        earlier one goes first among those of one rank.
+    route : str
+        Requests of one route take about the same time.
     """
 
     ticket: object
     deadline_ms: float
     max_wait_ms: float
     priority: int = 0
+    objective_ms: float = math.inf
+    route: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +134,8 @@
         self._queue_ratio = queue_ratio
         self._usable_ratio = usable_ratio
         self._started: dict[object, float] = {}
-        self._slowness_at: dict[object, float] = {}
+        self._met: dict[object, tuple[float, str]] = {}
+        self._usual_by_route: dict[str, float] = {}
         self._queue: list[Waiting] = []
         self._service_ms = INITIAL_SERVICE_MS
         self._completed_ms = 0.0
@@ -161,9 +177,10 @@
         """
         hold_ms = 0.0
         if pace.is_slow(slowness):
-            hold_ms = min(MAX_HOLD_MS, (slowness - 1) * self._service_ms)
+            usual_ms = self._usual_ms(offer.route)
+            hold_ms = min(MAX_HOLD_MS, (slowness - 1) * usual_ms)
         elif len(self._started) < self.usable and not self._queue:
-            self._start(offer.ticket, slowness, now_ms)
+            self._start(offer.ticket, offer.route, slowness, now_ms)
             return START
         wait_ms = max(hold_ms, self.predicted_wait_ms(now_ms))
         if now_ms + wait_ms >= offer.deadline_ms:
@@ -178,6 +195,8 @@
                 offer.deadline_ms,
                 now_ms + hold_ms,
                 offer.priority,
+                offer.objective_ms,
+                offer.route,
             )
         )
         return WAIT
@@ -200,12 +219,13 @@
             tells the service time.
         """
         started_ms = self._started.pop(ticket, None)
-        slowness_before = self._slowness_at.pop(ticket, 1.0)
+        slowness_before, route = self._met.pop(ticket, (1.0, ''))
         if started_ms is not None and measured:
             self.completed += 1
             weight = max(SERVICE_TIME_WEIGHT, 1 / self.completed)
             usual_ms = (now_ms - started_ms) / slowness_before
             self._service_ms += weight * (usual_ms - self._service_ms)
+            self._learn(route, usual_ms)
             self._completed_ms = now_ms
         return self.fill(slowness, now_ms)
 
@@ -214,7 +234,7 @@
         started_ms = self._started.get(ticket)
         if started_ms is None:
             return None
-        return started_ms, self._slowness_at[ticket]
+        return started_ms, self._met[ticket][0]
 
     def withdraw(self, ticket: object) -> bool:
         """Remove a request from the queue; False if it is not there."""
@@ -300,20 +320,34 @@
                 break
             elif not slow or now_ms >= waiting.start_by_ms:
                 self._queue.remove(waiting)
-                self._start(waiting.ticket, slowness, now_ms)
+                self._start(waiting.ticket, waiting.route, slowness, now_ms)
                 start.append(waiting.ticket)
         return Released(tuple(start), tuple(expired))
 
-    def _start(self, ticket: object, slowness: float, now_ms: float) -> None:
+    def _start(
+        self, ticket: object, route: str, slowness: float, now_ms: float
+    ) -> None:
         if not self._started:
             # An idle upstream completes nothing; the count begins anew.
             self._completed_ms = now_ms
         self._started[ticket] = now_ms
-        self._slowness_at[ticket] = slowness
+        self._met[ticket] = (slowness, route)
+
+    def _usual_ms(self, route: str) -> float:
+        return self._usual_by_route.get(route, self._service_ms)
+
+    def _learn(self, route: str, usual_ms: float) -> None:
+        known_ms = self._usual_by_route.get(route)
+        if known_ms is None:
+            if len(self._usual_by_route) >= MAX_ROUTES:
+                self._usual_by_route.clear()
+            known_ms = usual_ms
+        known_ms += SERVICE_TIME_WEIGHT * (usual_ms - known_ms)
+        self._usual_by_route[route] = known_ms
 
     def _enqueue(self, waiting: Waiting) -> None:
         bisect.insort(self._queue, waiting, key=_rank)
 
 
-def _rank(waiting: Waiting) -> int:
-    return waiting.priority
+def _rank(waiting: Waiting) -> tuple[int, float]:
+    return waiting.priority, waiting.objective_ms
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -50,8 +50,11 @@
         Time until the deadline, counted from the sending.
     max_wait_us : int
         Longest predicted wait for a slot that the sender accepts.
+    objective_left_us : int
+        Time until the objective, counted from the sending; 0 if there is
+        none.
     request_id, service, method, target, headers, body, idempotent, key, \
-priority
+priority, route
         As in `jasminebeam.model.requests.Call`.
     """
 
@@ -69,6 +72,8 @@
     idempotent: bool
     key: str
     priority: int = 255
+    route: str = ''
+    objective_left_us: int = 0
 
 
 class Reply(Message, tag=4):
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import typing
 
 from jasminebeam.model import requests
@@ -259,6 +260,8 @@
                 idempotent=call.idempotent,
                 key=call.key,
                 priority=call.priority,
+                route=call.route,
+                objective_left_us=_time_left_us(call.objective_ms, now_ms),
             )
         )
         if not sent_bytes:
@@ -378,3 +381,10 @@
         self._recovering.pop((attempt.session, attempt.sequence), None)
         self._counters.revocations.labels('unknown').inc()
         attempt.resolve(verdict.may_have_run(verdict.Reason.SIDECAR_LOST))
+
+
+def _time_left_us(instant_ms: float, now_ms: float) -> int:
+    """Return the time until an instant; 0 if it is unset or over."""
+    if math.isinf(instant_ms):
+        return 0
+    return max(0, int((instant_ms - now_ms) * 1_000))
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import functools
+import math
 import typing
 
 from jasminebeam.admission import pace
@@ -293,7 +294,12 @@
     ) -> None:
         call = work.call
         offer = slots.Offer(
-            request_id, call.deadline_ms, work.max_wait_ms, call.priority
+            request_id,
+            call.deadline_ms,
+            work.max_wait_ms,
+            call.priority,
+            call.objective_ms,
+            call.route,
         )
         decision = self._slots.offer(
             offer, self._pace.slowness(now_ms), now_ms
@@ -544,6 +550,7 @@
 
 
 def _call_from(message: messages.Request, now_ms: float) -> requests.Call:
+    objective_left_ms = message.objective_left_us / 1_000 or math.inf
     return requests.Call(
         request_id=message.request_id,
         service=message.service,
@@ -554,5 +561,7 @@
         idempotent=message.idempotent,
         deadline_ms=now_ms + message.time_left_us / 1_000,
         key=message.key,
+        objective_ms=now_ms + objective_left_ms,
         priority=message.priority,
+        route=message.route,
     )
--- a/tests/test_admission/test_pace.py
+++ b/tests/test_admission/test_pace.py
@@ -63,6 +63,29 @@
     assert order == ['high', 'high2', 'mid', 'low']
 
 
+def test_short_calls_go_before_long_requests_of_their_rank():
+    """A call keeps the slot of the request that made it."""
+    queue = slots.SlotQueue(1, 9.0)
+    _offer(queue, 'running', LATE_MS, 1.0, 0.0)
+    for ticket, objective_ms in (('long', 400.0), ('call', 130.0)):
+        offer = slots.Offer(ticket, LATE_MS, LATE_MS, 1, objective_ms)
+        queue.offer(offer, 1.0, 1.0)
+    assert queue.release('running', 1.0, 5.0, True).start == ('call',)
+
+
+def test_short_request_is_held_no_longer_than_a_slow_start_costs():
+    """Each route has its own service time."""
+    queue = slots.SlotQueue(9, 4.0)
+    for route, ends_ms in (('short', 20.0), ('long', 300.0)):
+        offer = slots.Offer(route, LATE_MS, LATE_MS, route=route)
+        queue.offer(offer, 1.0, 0.0)
+        queue.release(route, 1.0, ends_ms, measured=True)
+    held = slots.Offer('a', LATE_MS, LATE_MS, route='short')
+    queue.offer(held, 4.0, 400.0)
+    assert queue.fill(4.0, 455.0).start == ()
+    assert queue.fill(4.0, 461.0).start == ('a',)
+
+
 def test_figure_that_predicts_nothing_is_ignored():
     """Durations show that it is idle."""
     known = pace.HostPace()
