Hold the first requests of a node by their objective

Change: until a request of a route has ended, a share of the time to its objective stands in. The test fails without it.

--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -13,6 +13,10 @@
 
 SERVICE_TIME_WEIGHT = 0.1
 
+# Until a request of its route has ended, a request is taken to need this
+# share of the time to its objective.
+OBJECTIVE_SHARE = 0.3
+
 # Routes whose service times are kept; configurations bring new ones.
 MAX_ROUTES = 1_024
 
@@ -177,7 +181,7 @@
         """
         hold_ms = 0.0
         if pace.is_slow(slowness):
-            usual_ms = self._usual_ms(offer.route)
+            usual_ms = self._usual_ms(offer, now_ms)
             hold_ms = min(MAX_HOLD_MS, (slowness - 1) * usual_ms)
         elif len(self._started) < self.usable and not self._queue:
             self._start(offer.ticket, offer.route, slowness, now_ms)
@@ -333,8 +337,13 @@
         self._started[ticket] = now_ms
         self._met[ticket] = (slowness, route)
 
-    def _usual_ms(self, route: str) -> float:
-        return self._usual_by_route.get(route, self._service_ms)
+    def _usual_ms(self, offer: Offer, now_ms: float) -> float:
+        known_ms = self._usual_by_route.get(offer.route)
+        if known_ms is not None:
+            return known_ms
+        if offer.objective_ms < math.inf:
+            return max(0.0, OBJECTIVE_SHARE * (offer.objective_ms - now_ms))
+        return self._service_ms
 
     def _learn(self, route: str, usual_ms: float) -> None:
         known_ms = self._usual_by_route.get(route)
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -378,6 +378,7 @@
             member=state.member.node_id,
             outcome=result.outcome.value,
             reason=result.reason.value,
+            status=result.answer.status if result.answer else 0,
             took_ms=round(now_ms - sending.sent_ms, 1),
         )
         if state.on_result(sending.token, result, now_ms):
--- a/tests/test_admission/test_pace.py
+++ b/tests/test_admission/test_pace.py
@@ -86,6 +86,14 @@
     assert queue.fill(4.0, 461.0).start == ('a',)
 
 
+def test_first_requests_of_a_node_are_held_as_well():
+    """Their objective tells about how long they take."""
+    queue = slots.SlotQueue(9, 4.0)
+    offer = slots.Offer('a', LATE_MS, LATE_MS, objective_ms=600.0, route='r')
+    assert queue.offer(offer, 4.0, 0.0).step is slots.Step.WAIT
+    assert queue.fill(4.0, 300.0).start == ()
+
+
 def test_figure_that_predicts_nothing_is_ignored():
     """Durations show that it is idle."""
     known = pace.HostPace()
