--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -98,27 +98,39 @@
             table.Place(place.node_id, place.failure_domain, place.region)
         )
         self.probes = probing.ProbePlanner()
-        self.sidecar = sidecar.Sidecar(
+        self.sidecar = self._create_sidecar(boot_id)
+        self._gossip_options = gossip.Options()
+        self.membership = self._create_membership()
+        self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
+        self.metrics.queued.set_function(lambda: self.sidecar.queued)
+        self._servers: list[edges_module.Server] = []
+        self._stopping = False
+        self._upstream_reachable = True
+
+    def _create_sidecar(self, boot_id: int) -> sidecar.Sidecar:
+        upstream = self._settings.upstream
+        return sidecar.Sidecar(
             boot_id,
             sidecar.Limits(
-                queue_ratio=settings.upstream.queue_ratio,
-                usable_ratio=settings.upstream.usable_ratio,
+                queue_ratio=upstream.queue_ratio,
+                usable_ratio=upstream.usable_ratio,
             ),
             self.log,
             self.metrics,
             clock.monotonic_ms,
         )
-        self._gossip_options = gossip.Options()
-        self._gossip = gossip.Gossip(
+
+    def _create_membership(self) -> membership_task.MembershipTask:
+        state = gossip.Gossip(
             self._first_record(),
             self.services,
             self.route_sets,
-            settings.peering.seeds.split(),
+            self._settings.peering.seeds.split(),
             self.generator,
             self._gossip_options,
         )
-        self.membership = membership_task.MembershipTask(
-            self._gossip,
+        return membership_task.MembershipTask(
+            state,
             self.services,
             self.routes.update,
             self._on_revision,
@@ -128,11 +140,6 @@
             self.log,
             self.metrics,
         )
-        self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
-        self.metrics.queued.set_function(lambda: self.sidecar.queued)
-        self._servers: list[edges_module.Server] = []
-        self._stopping = False
-        self._upstream_reachable = True
 
     async def start(self) -> None:
         """Open all sockets and start the tasks."""
--- a/jasminebeam/routing/scoring.py
+++ b/jasminebeam/routing/scoring.py
@@ -94,23 +94,12 @@
     now_ms, wall_ms : float
         Monotonic and wall-clock time.
     """
-    sample = state.sample
     slots = max(1, state.member.slots)
-    if sample is None:
+    if state.sample is None:
         load = means.load_per_slot * slots + len(state.outstanding)
         service_ms = means.service_ms
     else:
-        age_ms = now_ms - state.sample_ms
-        trust = weights.stale_ms / (weights.stale_ms + age_ms)
-        reported = sample.in_flight + sample.queued
-        mean = means.load_per_slot * slots
-        load = trust * reported + (1 - trust) * mean
-        load += state.sent_since_sample
-        service_ms = trust * sample.service_us / 1_000
-        service_ms += (1 - trust) * means.service_ms
-        slowness = trust * sample.slowness_percent / 100
-        service_ms *= slowness + (1 - trust) * means.slowness
-        service_ms = _stalled_ms(state, service_ms, weights, now_ms)
+        load, service_ms = _from_sample(state, means, weights, now_ms)
     service_ms *= _cold_factor(state, weights, wall_ms)
     load = max(load, float(len(state.outstanding)))
     wait_ms = max(0.0, load + 1 - slots) * service_ms / slots
@@ -122,6 +111,26 @@
     return way_ms + service_ms + wait_ms + busy_ms + failure_ms
 
 
+def _from_sample(
+    state: table.UpstreamState,
+    means: Means,
+    weights: Weights,
+    now_ms: float,
+) -> tuple[float, float]:
+    """Return load and service time; an old sample decays to the means."""
+    sample = state.sample
+    age_ms = now_ms - state.sample_ms
+    trust = weights.stale_ms / (weights.stale_ms + age_ms)
+    mean_load = means.load_per_slot * max(1, state.member.slots)
+    load = trust * (sample.in_flight + sample.queued)
+    load += (1 - trust) * mean_load + state.sent_since_sample
+    service_ms = trust * sample.service_us / 1_000
+    service_ms += (1 - trust) * means.service_ms
+    slowness = trust * sample.slowness_percent / 100
+    service_ms *= slowness + (1 - trust) * means.slowness
+    return load, _stalled_ms(state, service_ms, weights, now_ms)
+
+
 def _stalled_ms(
     state: table.UpstreamState,
     service_ms: float,
