--- a/tests/test_ingress/test_dispatcher.py
+++ b/tests/test_ingress/test_dispatcher.py
@@ -92,3 +92,28 @@
     result = world.result(world.send(again))
     assert result.outcome is verdict.Outcome.NOT_RUN
     assert world.runs('a') == 1
+
+
+def test_no_more_upstreams_than_the_route_allows(world):
+    """Neither a retry nor a hedge goes beyond the number."""
+    _add_failing(world, 3)
+    for server in world.servers.values():
+        server.upstream.service_s = 0.2
+    for number, allowed in ((10, 1), (20, 2)):
+        call = dataclasses.replace(
+            world.call('GET', request_id=f'c{number}'), max_attempts=allowed
+        )
+        world.result(world.send(call))
+        assert 1 <= world.runs(call.request_id) <= allowed
+
+
+def test_first_hedge_waits_for_half_of_the_objective(world):
+    """A node that has just started takes no usual request for slow."""
+    for number in range(2):
+        world.add(f'u{number}').upstream.service_s = 0.2
+    now_ms = world.loop.now_ms()
+    call = dataclasses.replace(
+        world.call('GET'), objective_ms=now_ms + 600.0, route='r'
+    )
+    world.result(world.send(call))
+    assert world.runs(call.request_id) == 1
