Keep one copy of the store's availability and of callers' header rules

Watcher and relay noted the store's loss in the same lines; both dialects towards callers filtered headers and built answers in the same lines.

--- a/jasminebeam/callers/dialect.py
+++ b/jasminebeam/callers/dialect.py
@@ -112,16 +112,11 @@
 
     def read(self, request: web.BaseRequest) -> Inbound:
         """Return what the header says."""
-        passed_on = headers.end_to_end(request.headers.items())
-        if not request.raw_path.isascii() or not headers.is_text(passed_on):
-            raise ProblemError(
-                400, 'invalid characters', 'target or header is not text'
-            )
         return Inbound(
             _request_id(request),
             _time_left_ms(request),
             _key(request),
-            passed_on,
+            passed_on(request),
         )
 
     def write_problem(self, problem: Problem) -> web.Response:
@@ -143,10 +138,7 @@
     ) -> web.Response:
         """Return the upstream's answer, or a problem document."""
         if result.answer is not None:
-            answer = result.answer
-            response = web.Response(status=answer.status, body=answer.body)
-            for name, value in headers.end_to_end(answer.headers):
-                response.headers.add(name, value)
+            response = response_from(result.answer)
             response.headers[headers.VERDICT] = result.outcome.value
             return response
         status = self._STATUS_BY_REASON.get(
@@ -160,6 +152,30 @@
         return response
 
 
+def passed_on(request: web.BaseRequest) -> requests.Headers:
+    """Return the headers of a request that are passed on.
+
+    Raises
+    ------
+    ProblemError
+        If the target or a header is not text.
+    """
+    pairs = headers.end_to_end(request.headers.items())
+    if not request.raw_path.isascii() or not headers.is_text(pairs):
+        raise ProblemError(
+            400, 'invalid characters', 'target or header is not text'
+        )
+    return pairs
+
+
+def response_from(answer: requests.Answer) -> web.Response:
+    """Return the response that carries an upstream's answer."""
+    response = web.Response(status=answer.status, body=answer.body)
+    for name, value in headers.end_to_end(answer.headers):
+        response.headers.add(name, value)
+    return response
+
+
 def _time_left_ms(request: web.BaseRequest) -> float | None:
     text = request.headers.get(headers.TIMEOUT_MS)
     if text is None:
--- a/jasminebeam/configuration/relay.py
+++ b/jasminebeam/configuration/relay.py
@@ -12,6 +12,7 @@
 
 from jasminebeam.configuration import changes
 from jasminebeam.routing import subset
+from jasminebeam.store import availability
 from jasminebeam.store import store
 from jasminebeam.telemetry import events
 
@@ -110,7 +111,7 @@
         self._on_revision = on_revision
         self._generator = generator
         self._log = log
-        self._available = True
+        self._availability = availability.Availability(log)
         self._delay_s = RETRY_MIN_S
 
     async def run(self) -> None:
@@ -131,7 +132,7 @@
     async def load_all(self) -> bool:
         """Read all services once; False if the store does not answer."""
         listing = await self._store.list(changes.SERVICES_PREFIX)
-        self._note_availability(listing)
+        self._availability.note(listing)
         if not isinstance(listing, result.Success):
             return False
         for item in listing.unwrap().items:
@@ -142,7 +143,7 @@
         """Return the lease of a free relay place; 0 if there is none."""
         prefix = f'{RELAYS_PREFIX}{self._options.failure_domain}/'
         listing = await self._store.list(prefix)
-        self._note_availability(listing)
+        self._availability.note(listing)
         if not isinstance(listing, result.Success):
             return 0
         taken = {item.key for item in listing.unwrap().items}
@@ -181,7 +182,7 @@
         while failures < 3:
             await asyncio.sleep(self._options.lease_s / 3)
             kept = await self._store.keep_alive(lease_id)
-            self._note_availability(kept)
+            self._availability.note(kept)
             if isinstance(kept, result.Success):
                 failures = 0
             elif kept.failure() is store.StoreError.LEASE_EXPIRED:
@@ -192,7 +193,7 @@
     async def _watch(self) -> None:
         while True:
             listing = await self._store.list(changes.SERVICES_PREFIX)
-            self._note_availability(listing)
+            self._availability.note(listing)
             if isinstance(listing, result.Success):
                 found = listing.unwrap()
                 for item in found.items:
@@ -212,19 +213,3 @@
             )
             return
         self._on_revision(revision)
-
-    def _note_availability(
-        self, answer: result.Result[typing.Any, store.StoreError]
-    ) -> None:
-        available = (
-            isinstance(answer, result.Success)
-            or answer.failure() is not store.StoreError.UNAVAILABLE
-        )
-        if available != self._available:
-            self._available = available
-            event = (
-                events.Event.STORE_AVAILABLE
-                if available
-                else events.Event.STORE_UNAVAILABLE
-            )
-            self._log.write(event)
--- a/jasminebeam/configuration/watcher.py
+++ b/jasminebeam/configuration/watcher.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from jasminebeam.configuration import routes as routes_module
+from jasminebeam.store import availability
 from jasminebeam.store import store
 from jasminebeam.telemetry import events
 
@@ -106,7 +107,7 @@
         self._members = members
         self._generator = generator
         self._log = log
-        self._available = True
+        self._availability = availability.Availability(log)
         self._delay_s = RETRY_MIN_S
 
     async def watch(self) -> None:
@@ -116,7 +117,7 @@
                 await asyncio.sleep(NOT_CHOSEN_POLL_S)
                 continue
             listing = await self._store.list(self._options.key)
-            self._note_availability(listing)
+            self._availability.note(listing)
             if not isinstance(listing, result.Success):
                 await self._pause()
                 continue
@@ -203,17 +204,3 @@
     async def _pause(self) -> None:
         await asyncio.sleep(self._delay_s * (0.5 + self._generator.random()))
         self._delay_s = min(RETRY_MAX_S, self._delay_s * 2)
-
-    def _note_availability(
-        self, answer: result.Result[typing.Any, store.StoreError]
-    ) -> None:
-        available = isinstance(answer, result.Success)
-        if available == self._available:
-            return
-        self._available = available
-        event = (
-            events.Event.STORE_AVAILABLE
-            if available
-            else events.Event.STORE_UNAVAILABLE
-        )
-        self._log.write(event)
--- a/jasminebeam/platform/callers.py
+++ b/jasminebeam/platform/callers.py
@@ -8,7 +8,6 @@
 from aiohttp import web
 
 from jasminebeam.callers import dialect
-from jasminebeam.callers import headers
 from jasminebeam.platform import wire
 from jasminebeam import verdict
 
@@ -53,13 +52,9 @@
             )
         passed_on = tuple(
             (name, value)
-            for name, value in headers.end_to_end(request.headers.items())
+            for name, value in dialect.passed_on(request)
             if name.lower() not in _OWN_HEADERS
         )
-        if not request.raw_path.isascii() or not headers.is_text(passed_on):
-            raise dialect.ProblemError(
-                400, 'invalid characters', 'target or header is not text'
-            )
         return dialect.Inbound(
             request_id,
             _time_left_ms(request),
@@ -79,11 +74,7 @@
     ) -> web.Response:
         """Return the upstream's answer, or what became of the request."""
         if result.answer is not None:
-            answer = result.answer
-            response = web.Response(status=answer.status, body=answer.body)
-            for name, value in headers.end_to_end(answer.headers):
-                response.headers.add(name, value)
-            return response
+            return dialect.response_from(result.answer)
         response = web.json_response(
             {'error': result.reason.value}, status=_status(result)
         )
