Expect cold hosts to stay slow; serve calls of running requests first

Cause: after a power cut every host is cold, at twice its usual time, for three seconds. A restarted node kept no figure of its host's speed until the first answer. Calls of running requests were refused as late, and their parents, half done, failed with them. A third of the late lookups had been accepted with just the usual time left, which every second request exceeds.

Change: the least slowness of two seconds is what a host can do; only what exceeds it is waited for. The first health answer counts as a figure. Calls of requests that run beside the node go before all ranks and count as timely until their deadline. A request counts as late with less than 1.25 of the usual time left. Refusals by all sidecars hold for 10 ms. Silent sidecars get a little longer if all others refuse. The program leaves all stacks behind if a library aborts. One small HTTP server serves announcements, checks and metrics on both sides.

The test of the second node makes its upstream unhealthy before the node starts, since the node now looks for it at once.

--- a/jasminebeam/admission/pace.py
+++ b/jasminebeam/admission/pace.py
@@ -14,6 +14,11 @@
 # From here on a start is worth avoiding.
 SLOW_FROM = 1.5
 
+# Neighbours slow a host down for some hundred milliseconds at a time, cold
+# starts and faults for seconds: the least slowness of this time is what the
+# host can do at present, and waiting for less is in vain.
+LEVEL_WINDOW_MS = 2_000.0
+
 # Completed requests that began on a slow host before the figure is judged.
 MIN_JUDGED = 8
 LEARNING_WEIGHT = 0.1
@@ -38,6 +43,9 @@
     def __init__(self) -> None:
         self._slowness = upstreams.USUAL_SLOWNESS
         self._reported_ms = float('-inf')
+        # Least figures of the present and the former half of the window.
+        self._least = (float('inf'), float('inf'))
+        self._half_ms = float('-inf')
         self._usual_means_ms: dict[str, float] = {}
         self._slow_ratio = 0.0
         self._slow_count = 0
@@ -55,6 +63,26 @@
         """Record a figure."""
         self._slowness = slowness
         self._reported_ms = now_ms
+        present, former = self._least
+        if now_ms - self._half_ms >= LEVEL_WINDOW_MS:
+            present, former = float('inf'), float('inf')
+            self._half_ms = now_ms
+        elif now_ms - self._half_ms >= LEVEL_WINDOW_MS / 2:
+            present, former = float('inf'), present
+            self._half_ms = now_ms
+        self._least = (min(present, slowness), former)
+
+    @property
+    def level(self) -> float:
+        """Slowness that the host has had at the least of late."""
+        least = min(self._least)
+        if least == float('inf') or not self.is_predictive():
+            return upstreams.USUAL_SLOWNESS
+        return max(least, upstreams.USUAL_SLOWNESS)
+
+    def excess(self, now_ms: float) -> float:
+        """Return how much slower than of late a start now would be."""
+        return max(1.0, self.slowness(now_ms) / self.level)
 
     def figure(self, now_ms: float) -> float | None:
         """Return what the upstream says, trusted or not, if it is fresh."""
--- a/jasminebeam/admission/queue.py
+++ b/jasminebeam/admission/queue.py
@@ -12,6 +12,10 @@
 # usual time left, a run ends without an answer that anybody waits for.
 MIN_RUN_SHARE = 0.7
 
+# One in five takes longer than this multiple of the usual time: with less
+# time to the objective, a request counts as late.
+TIMELY_SHARE = 1.25
+
 # A request that is late anyway waits no longer than this share of the time
 # that its caller has left; the rest is for trying again later.
 LATE_WAIT_SHARE = 0.25
@@ -77,7 +81,7 @@
 
     def is_timely(self, now_ms: float) -> bool:
         """Return True if a start now can still meet the objective."""
-        return now_ms + self.usual_ms <= self.objective_ms
+        return now_ms + TIMELY_SHARE * self.usual_ms <= self.objective_ms
 
     def is_hopeless(self, now_ms: float) -> bool:
         """Return True if a start now would be too late for any answer."""
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -142,6 +142,8 @@
         self, slots: int, queue_ratio: float, usable_ratio: float = 1.0
     ) -> None:
         self.slots = slots
+        # How slow the host is apart from what passes in a moment.
+        self.level = 1.0
         self._queue_ratio = queue_ratio
         self._usable_ratio = usable_ratio
         self._started: dict[object, float] = {}
@@ -209,7 +211,7 @@
             offer.priority, offer.objective_ms, now_ms
         )
         wait_ms = max(hold_ms, self._wait_ms(ahead, now_ms))
-        give_up_ms = offer.objective_ms - usual_ms
+        give_up_ms = offer.objective_ms - queue.TIMELY_SHARE * usual_ms
         late_wait_ms = queue.LATE_WAIT_SHARE * (offer.deadline_ms - now_ms)
         if now_ms + wait_ms > give_up_ms:
             # Late in any case: it only takes what others leave.
@@ -300,7 +302,9 @@
         ahead = len(self._started) + queued + 1 - self.usable
         if ahead <= 0 or not self.usable:
             return 0.0
-        return ahead * self.service_ms(now_ms) / self.usable
+        level_ms = self._service_ms * self.level
+        service_ms = max(level_ms, self.service_ms(now_ms))
+        return ahead * service_ms / self.usable
 
     def sample(
         self,
@@ -346,15 +350,16 @@
             # An idle upstream completes nothing; the count begins anew.
             self._completed_ms = now_ms
         self._started[ticket] = now_ms
-        self._met[ticket] = (slowness, route)
+        self._met[ticket] = (slowness * self.level, route)
 
     def _usual_ms(self, offer: Offer, now_ms: float) -> float:
         known_ms = self._usual_by_route.get(offer.route)
-        if known_ms is not None:
-            return known_ms
-        if offer.objective_ms < math.inf:
-            return max(0.0, OBJECTIVE_SHARE * (offer.objective_ms - now_ms))
-        return self._service_ms
+        if known_ms is None:
+            known_ms = self._service_ms
+            if offer.objective_ms < math.inf:
+                left_ms = offer.objective_ms - now_ms
+                known_ms = max(0.0, OBJECTIVE_SHARE * left_ms)
+        return known_ms * self.level
 
     def _learn(self, route: str, usual_ms: float) -> None:
         known_ms = self._usual_by_route.get(route)
--- a/jasminebeam/callers/dialect.py
+++ b/jasminebeam/callers/dialect.py
@@ -56,12 +56,16 @@
         Idempotency key; empty if there is none.
     headers : Headers
         Headers that are passed on.
+    parent_id : str
+        Identifier of the request that an upstream makes this call for;
+        empty if it is none, or does not say.
     """
 
     request_id: str
     time_left_ms: float | None
     key: str
     headers: requests.Headers
+    parent_id: str = ''
 
 
 class CallerDialect(typing.Protocol):
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -51,6 +51,8 @@
         Receives requests that no route matches.
     counters : Metrics
         Counts latencies and refused requests.
+    is_running : callable
+        Tells whether the upstream of this host works on a request.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         generator: random.Random,
         log: events.EventLog,
         counters: metrics.Metrics,
+        is_running: typing.Callable[[str], bool],
     ) -> None:
+        self._is_running = is_running
         self._matcher = matcher
         self._dispatcher = dispatch
         self._probes = probes
@@ -185,6 +189,10 @@
             timeout_ms = min(timeout_ms, inbound.time_left_ms)
             tried_ms = self._elapsed.observe(match.route, inbound.time_left_ms)
         objective_ms = (match.objective_ms or timeout_ms) - tried_ms
+        priority = match.priority
+        if inbound.parent_id and self._is_running(inbound.parent_id):
+            priority = routes.NESTED_PRIORITY
+            objective_ms = timeout_ms
         return requests.Call(
             request_id=inbound.request_id,
             service=match.service.name,
@@ -197,7 +205,7 @@
             key='' if match.idempotent else inbound.key,
             max_attempts=match.max_attempts,
             objective_ms=started_ms + objective_ms,
-            priority=match.priority,
+            priority=priority,
             route=match.route,
             revision=match.revision,
         )
--- a/jasminebeam/ingress/asking.py
+++ b/jasminebeam/ingress/asking.py
@@ -26,6 +26,34 @@
 MIN_REPLY_MS = 5.0
 MAX_REPLY_MS = 60.0
 
+# Longest further wait for sidecars that have not replied, if all others
+# refuse: three ways between failure domains open a connection.
+LATE_REPLY_MS = 25.0
+
+
+# For this time after all sidecars have refused, the answer is the same: a
+# slot becomes free about as often, and many requests wait for it.
+REFUSED_FOR_MS = 10.0
+
+# Routes whose last refusal is kept; configurations bring new ones.
+MAX_ROUTES = 1_024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    reason: verdict.Reason
+    until_ms: float
+    objective_left_ms: float
+    time_left_ms: float
+
+    def covers(self, call: requests.Call, now_ms: float) -> bool:
+        """Return True if a call has no better chance than the one refused."""
+        return (
+            now_ms < self.until_ms
+            and call.objective_ms - now_ms <= self.objective_left_ms
+            and call.deadline_ms - now_ms <= self.time_left_ms
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Advice:
@@ -77,6 +105,7 @@
         self._source = source
         self._weights = weights
         self._clock = clock
+        self._refusals: dict[tuple[str, str], _Refusal] = {}
 
     async def advise(
         self,
@@ -92,56 +121,127 @@
         ranked : sequence of UpstreamState
             Eligible upstreams, the cheapest by what is known first.
         """
-        found: list[quotes.Quote] = []
+        name = (call.service, call.route)
+        started_ms = self._clock()
+        refusal = self._refusals.get(name)
+        if refusal is not None and refusal.covers(call, started_ms):
+            return Advice(None, refusal.reason)
+        replies = _Replies()
+        try:
+            asked = await self._ask_in_waves(call, ranked, replies)
+        finally:
+            replies.cancel()
+        best = quotes.choose(replies.found, self._weights)
+        if best is not None:
+            return Advice(best.state, asked=asked, wait_ms=best.wait_ms)
+        if not replies.found:
+            return Advice(None, asked=asked)
+        reason = replies.found[0].reason
+        self._note_refusal(name, call, reason, started_ms)
+        return Advice(None, reason, asked)
+
+    async def _ask_in_waves(
+        self,
+        call: requests.Call,
+        ranked: typing.Sequence[table.UpstreamState],
+        replies: _Replies,
+    ) -> int:
+        """Ask until a reply is as good as can be; return how many."""
         asked = 0
         for wave in _waves(ranked):
             known = quotes.from_samples(wave, self._clock())
             if known is not None:
-                found.append(known)
-                break
+                replies.found.append(known)
+                return asked
             asked += len(wave)
-            found += await self._ask(call, wave)
-            if any(quote.immediate for quote in found):
-                break
-        best = quotes.choose(found, self._weights)
-        if best is not None:
-            return Advice(best.state, asked=asked, wait_ms=best.wait_ms)
-        if found:
-            return Advice(None, found[0].reason, asked)
-        return Advice(None, asked=asked)
+            self._ask(call, wave, replies)
+            await replies.wait(_reply_ms(wave), self._clock)
+            if replies.immediate:
+                return asked
+        if not replies.accepted:
+            # Connections that are being opened take longer.
+            await replies.wait(LATE_REPLY_MS, self._clock)
+        return asked
 
-    async def _ask(
+    def _note_refusal(
+        self,
+        name: tuple[str, str],
+        call: requests.Call,
+        reason: verdict.Reason,
+        asked_ms: float,
+    ) -> None:
+        if len(self._refusals) >= MAX_ROUTES:
+            self._refusals.clear()
+        self._refusals[name] = _Refusal(
+            reason,
+            self._clock() + REFUSED_FOR_MS,
+            call.objective_ms - asked_ms,
+            call.deadline_ms - asked_ms,
+        )
+
+    def _ask(
         self,
         call: requests.Call,
         wave: typing.Sequence[table.UpstreamState],
-    ) -> list[quotes.Quote]:
-        replies = {}
+        replies: _Replies,
+    ) -> None:
         for state in wave:
             member = state.member
             peer = self._source.peer(member.node_id, member.address)
-            replies[peer.ask(call)] = state
-        found: list[quotes.Quote] = []
-        until_ms = self._clock() + _reply_ms(replies.values())
-        pending = set(replies)
-        try:
-            while pending and not any(quote.immediate for quote in found):
-                left_ms = until_ms - self._clock()
-                done, pending = await asyncio.wait(
-                    pending,
-                    timeout=max(0.0, left_ms) / 1_000,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if not done:
-                    break
-                found += [
-                    _quote_from(replies[reply], reply.result())
-                    for reply in replies
-                    if reply in done and not reply.cancelled()
-                ]
-        finally:
-            for reply in pending:
-                reply.cancel()
-        return found
+            replies.expect(peer.ask(call), state)
+
+
+class _Replies:
+    """Replies of the sidecars that were asked for one request."""
+
+    def __init__(self) -> None:
+        self.found: list[quotes.Quote] = []
+        self._pending: dict[
+            asyncio.Future[messages.AdmissionReply], table.UpstreamState
+        ] = {}
+
+    @property
+    def immediate(self) -> bool:
+        """True if a quote is as good as can be."""
+        return any(quote.immediate for quote in self.found)
+
+    @property
+    def accepted(self) -> bool:
+        """True if a sidecar would accept the request."""
+        return any(quote.accepted for quote in self.found)
+
+    def expect(
+        self,
+        reply: asyncio.Future[messages.AdmissionReply],
+        state: table.UpstreamState,
+    ) -> None:
+        """Wait for one more reply."""
+        self._pending[reply] = state
+
+    async def wait(
+        self, longest_ms: float, clock: typing.Callable[[], float]
+    ) -> None:
+        """Return when all have replied, one well, or after a time."""
+        until_ms = clock() + longest_ms
+        while self._pending and not self.immediate:
+            left_ms = max(0.0, until_ms - clock())
+            done, _ = await asyncio.wait(
+                self._pending,
+                timeout=left_ms / 1_000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                return
+            # In the order of asking: sets have none.
+            for reply in [reply for reply in self._pending if reply in done]:
+                state = self._pending.pop(reply)
+                if not reply.cancelled():
+                    self.found.append(_quote_from(state, reply.result()))
+
+    def cancel(self) -> None:
+        """Stop waiting."""
+        for reply in self._pending:
+            reply.cancel()
 
 
 def _waves(
@@ -155,7 +255,7 @@
             yield states[start : start + WAVE_SIZE]
 
 
-def _reply_ms(states: typing.Iterable[table.UpstreamState]) -> float:
+def _reply_ms(states: typing.Sequence[table.UpstreamState]) -> float:
     slowest_ms = max((state.round_trip_ms for state in states), default=0.0)
     return min(MAX_REPLY_MS, max(MIN_REPLY_MS, slowest_ms + REPLY_SLACK_MS))
 
--- a/jasminebeam/model/routes.py
+++ b/jasminebeam/model/routes.py
@@ -11,6 +11,10 @@
 DEFAULT_MAX_ATTEMPTS = 4
 LOWEST_PRIORITY = 255
 
+# Rank of calls made by running requests, before all routes: refusing one
+# fails its parent, whose work and slot are lost.
+NESTED_PRIORITY = -1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightedService:
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -269,6 +269,7 @@
         announcement = dataclasses.replace(expected, slots=reports[0].slots)
         life = self.upstream_life
         self._follow(life.on_identity(health.upstream_id, announcement))
+        self.sidecar.on_report(reports[0])
 
     def _create_client(
         self,
@@ -406,6 +407,7 @@
             self.generator,
             self.log,
             self.metrics,
+            self.sidecar.is_running,
         )
 
     def is_relay_candidate(self) -> bool:
@@ -440,6 +442,9 @@
         for service in new.services:
             self.routes.invalidate(service.name)
         self.metrics.config_revision.set(new.revision)
+        if self.sidecar.announcement is None:
+            # The health path, which finds the upstream, may be known now.
+            self._spawn(self._find_upstream())
         self.log.write(
             events.Event.ROUTES_APPLIED,
             revision=new.revision,
--- a/jasminebeam/platform/__main__.py
+++ b/jasminebeam/platform/__main__.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 
-from jasminebeam.platform import program
-
 if __name__ == '__main__':
+    # What imports allocate stays; collections only delay the start.
+    gc.disable()
+
+    from jasminebeam.platform import program
+
     sys.exit(program.main())
--- a/jasminebeam/platform/callers.py
+++ b/jasminebeam/platform/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import math
 import typing
 
@@ -19,9 +20,6 @@
     for name in (wire.CALLER, wire.UPSTREAM_ID, wire.TIME_LEFT, 'Expect')
 )
 
-_BAD_GATEWAY = 502
-_GATEWAY_TIMEOUT = 504
-_UNAVAILABLE = 503
 _TIMEOUTS = frozenset(
     {
         verdict.Reason.DEADLINE,
@@ -60,6 +58,8 @@
             _time_left_ms(request),
             '',
             (*passed_on, (wire.CALLER, self._service())),
+            # An upstream's calls bear the id of the request it works on.
+            parent_id=request_id.rpartition('.')[0],
         )
 
     def write_problem(self, problem: dialect.Problem) -> web.Response:
@@ -86,10 +86,10 @@
 def _status(result: verdict.Verdict) -> int:
     """Return the status; only a proven *not run* gets one that says so."""
     if result.outcome is verdict.Outcome.NOT_RUN:
-        return _UNAVAILABLE
+        return http.HTTPStatus.SERVICE_UNAVAILABLE
     if result.reason in _TIMEOUTS:
-        return _GATEWAY_TIMEOUT
-    return _BAD_GATEWAY
+        return http.HTTPStatus.GATEWAY_TIMEOUT
+    return http.HTTPStatus.BAD_GATEWAY
 
 
 def _time_left_ms(request: web.BaseRequest) -> float | None:
--- a/jasminebeam/platform/edges.py
+++ b/jasminebeam/platform/edges.py
@@ -14,6 +14,7 @@
 from jasminebeam.platform import store
 from jasminebeam.platform import upstreams
 from jasminebeam.platform import wire
+from jasminebeam.upstreams import http_server
 
 if typing.TYPE_CHECKING:
     from jasminebeam.model import routes
@@ -78,18 +79,20 @@
     def create_servers(self, node: node_module.Node) -> list[edges.Server]:
         """Return the servers beside the one for callers."""
         adapter = self._settings.adapter
-        host = self._settings.node.node.host
+        announcements = settings.parse_address(adapter.announcements)
+        ready = settings.parse_address(adapter.readiness)
         return [
-            servers.HttpServer(
-                settings.parse_address(adapter.announcements),
+            http_server.HttpServer(
+                announcements.host,
+                announcements.port,
                 servers.Heartbeats(node).routes,
             ),
-            servers.HttpServer(
-                settings.parse_address(adapter.readiness),
-                [servers.readiness(node)],
+            http_server.HttpServer(
+                ready.host, ready.port, [servers.readiness(node)]
             ),
-            servers.HttpServer(
-                settings.Address(host, adapter.metrics_port),
+            http_server.HttpServer(
+                self._settings.node.node.host,
+                adapter.metrics_port,
                 [servers.metrics(node)],
             ),
         ]
--- a/jasminebeam/platform/program.py
+++ b/jasminebeam/platform/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import gc
 import os
 import pathlib
@@ -81,6 +82,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS, 20, 50)
+    gc.enable()
     await stopped.wait()
     polling.cancel()
     await running.stop()
@@ -94,6 +96,8 @@
     int
         Exit status: 0, or 2 for invalid settings.
     """
+    # A library that aborts leaves the stacks of all threads behind.
+    faulthandler.enable()
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
     loaded = settings.load(path)
     if not isinstance(loaded, result.Success):
--- a/jasminebeam/platform/servers.py
+++ b/jasminebeam/platform/servers.py
@@ -16,7 +16,6 @@
 if typing.TYPE_CHECKING:
     from jasminebeam import node as node_module
 
-MAX_HEARTBEAT_BYTES = 16_384
 _STATES = ('ready', 'draining')
 
 
@@ -43,39 +42,6 @@
     born: int = 0
 
 
-class HttpServer:
-    """Serves some paths on one address.
-
-    Parameters
-    ----------
-    address : Address
-        Where to listen.
-    routes : sequence of web.RouteDef
-        Paths and their handlers.
-    """
-
-    def __init__(
-        self,
-        address: settings.Address,
-        routes: typing.Sequence[web.RouteDef],
-    ) -> None:
-        self._address = address
-        application = web.Application(client_max_size=MAX_HEARTBEAT_BYTES)
-        application.add_routes(routes)
-        self._runner = web.AppRunner(application, access_log=None)
-
-    async def start(self) -> None:
-        """Listen."""
-        await self._runner.setup()
-        await web.TCPSite(
-            self._runner, self._address.host, self._address.port
-        ).start()
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        await self._runner.cleanup()
-
-
 class Heartbeats:
     """Decodes what the upstream says of itself.
 
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -124,6 +124,8 @@
         self._registry = registry.RequestRegistry(limits.registry)
         self._keys = keys.KeyedAnswers(limits.key_window_ms, limits.max_keys)
         self._work: dict[registry.RequestId, _Work] = {}
+        # Callers' identifiers of the requests at the upstream.
+        self._running: set[str] = set()
         self._idle = asyncio.Event()
         self._idle.set()
         self._working = asyncio.Event()
@@ -180,6 +182,10 @@
             async with asyncio.timeout(timeout_s):
                 await self._working.wait()
 
+    def is_running(self, request_id: str) -> bool:
+        """Return True while the upstream works on a caller's request."""
+        return request_id in self._running
+
     @property
     def in_flight(self) -> int:
         """Number of requests at the upstream."""
@@ -215,6 +221,7 @@
         self.reported_load = report.running + report.waiting
         if report.slowness is not None:
             self._pace.on_report(report.slowness, self._clock())
+            self._slots.level = self._pace.level
         if report.slots and report.slots != self._slots.slots:
             self._slots.slots = report.slots
 
@@ -283,7 +290,7 @@
                 _objective_ms(message.objective_left_us, received_ms),
                 message.route,
             )
-            slowness = self._pace.slowness(now_ms)
+            slowness = self._pace.excess(now_ms)
             quote = self._slots.quote(offer, slowness, now_ms)
         else:
             quote = slots.Quote(refused.reason, 0.0)
@@ -346,9 +353,7 @@
             call.objective_ms,
             call.route,
         )
-        decision = self._slots.offer(
-            offer, self._pace.slowness(now_ms), now_ms
-        )
+        decision = self._slots.offer(offer, self._pace.excess(now_ms), now_ms)
         if decision.step is slots.Step.START:
             self._start(request_id, now_ms)
         elif decision.step is slots.Step.REFUSE:
@@ -384,7 +389,7 @@
         unchecked, self._unchecked = self._unchecked, []
         for request_id in unchecked:
             self._offer_checked(request_id, now_ms)
-        released = self._slots.fill(self._pace.slowness(now_ms), now_ms)
+        released = self._slots.fill(self._pace.excess(now_ms), now_ms)
         self._advance(released, now_ms)
 
     def _offer_checked(
@@ -444,6 +449,7 @@
             **self._inputs(now_ms),
         )
         work.started_ms = now_ms
+        self._running.add(work.call.request_id)
         work.figure = self._pace.figure(now_ms)
         timeout_ms = work.call.deadline_ms - now_ms
         work.task = asyncio.create_task(
@@ -462,12 +468,13 @@
         result = _result_of(task)
         self._counters.runs.labels(result.outcome.value).inc()
         work = self._work[request_id]
+        self._running.discard(work.call.request_id)
         measured = result.outcome is verdict.Outcome.ANSWERED
         took_ms = now_ms - work.started_ms
         if measured and work.figure is not None:
             self._pace.on_completion(work.call.route, work.figure, took_ms)
         released = self._slots.release(
-            request_id, self._pace.slowness(now_ms), now_ms, measured
+            request_id, self._pace.excess(now_ms), now_ms, measured
         )
         self._log.write(
             events.Event.RUN_ENDED,
--- a/jasminebeam/upstreams/announcements.py
+++ b/jasminebeam/upstreams/announcements.py
@@ -8,12 +8,11 @@
 import msgspec
 
 from jasminebeam.model import upstreams
+from jasminebeam.upstreams import http_server
 
 if typing.TYPE_CHECKING:
     from jasminebeam.telemetry import metrics
 
-MAX_ANNOUNCEMENT_BYTES = 16_384
-
 
 class AnnouncementTarget(typing.Protocol):
     """Acts on what the upstream announces."""
@@ -44,28 +43,26 @@
         counters: metrics.Metrics,
         port: int,
     ) -> None:
-        self._port = port
         self._target = target
         self._counters = counters
-        application = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
-        application.add_routes(
+        self._server = http_server.HttpServer(
+            '127.0.0.1',
+            port,
             [
                 web.post('/announce', self._announce),
                 web.post('/drain', self._drain),
                 web.get('/metrics', self._metrics),
                 web.get('/health', self._health),
-            ]
+            ],
         )
-        self._runner = web.AppRunner(application, access_log=None)
 
     async def start(self) -> None:
         """Listen on the loopback address."""
-        await self._runner.setup()
-        await web.TCPSite(self._runner, '127.0.0.1', self._port).start()
+        await self._server.start()
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self._runner.cleanup()
+        await self._server.stop()
 
     async def _announce(self, request: web.Request) -> web.Response:
         try:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -98,7 +98,7 @@
             text = text.replace('{{' + placeholder + '}}', str(value))
         return text.replace('stop_grace_ms = 2500', 'stop_grace_ms = 50')
 
-    async def add(self, beat=True):
+    async def add(self, beat=True, healthy=True):
         """Start an upstream and the node beside it."""
         name = f'n{len(self.nodes)}'
         loaded = self.render(name)
@@ -106,6 +106,7 @@
         beside = platform_upstream.PlatformUpstreamStandIn(
             address.port, f'i-{name}', 'fees'
         )
+        beside.healthy = healthy
         await beside.start()
         self.upstreams.append(beside)
         self.settings.append(loaded)
--- a/tests/test_admission/test_pace.py
+++ b/tests/test_admission/test_pace.py
@@ -139,6 +139,40 @@
     assert queue.fill(1.0, 595.0).start == (9,)
 
 
+def test_host_that_stays_slow_is_not_waited_for():
+    """After a cold start all hosts are slow for seconds."""
+    known = pace.HostPace()
+    for now_ms in range(0, 3_000, 100):
+        known.on_report(2.0, float(now_ms))
+        assert known.excess(now_ms) == 1.0
+        assert known.level == 2.0
+    known.on_report(8.0, 3_000.0)
+    assert known.excess(3_000.0) == 4.0
+
+
+def test_moment_of_slowness_is_waited_for():
+    """The host was fast within the last seconds."""
+    known = pace.HostPace()
+    known.on_report(1.0, 0.0)
+    for now_ms in range(300, 1_200, 300):
+        known.on_report(4.0, float(now_ms))
+        assert known.excess(now_ms) == 4.0
+    for now_ms in range(1_200, 4_000, 300):
+        known.on_report(4.0, float(now_ms))
+    assert known.excess(3_900.0) == 1.0
+
+
+def test_cold_host_is_expected_to_take_longer():
+    """A wait that leaves time enough at the usual speed is too long."""
+    queue = _queue_with_service_time(100.0)
+    for number in range(18):
+        _offer(queue, number, LATE_MS, 1.0, 200.0)
+    offer = slots.Offer('a', 1_000.0, LATE_MS, objective_ms=410.0)
+    assert queue.quote(offer, 1.0, 200.0).reason is verdict.Reason.NONE
+    queue.level = 2.0
+    assert queue.quote(offer, 1.0, 200.0).reason is verdict.Reason.BUSY
+
+
 def test_old_figure_says_nothing():
     """The host's speed has changed since."""
     known = pace.HostPace()
--- a/tests/test_ingress/test_asking.py
+++ b/tests/test_ingress/test_asking.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 
+from jasminebeam.peering import messages
 from jasminebeam import verdict
 
 
@@ -21,6 +22,25 @@
     world.run(0.05)
 
 
+def _count_queries(servers):
+    """Return a list that grows with each question to a sidecar."""
+    asked = []
+
+    def watch(server):
+        handle = server.sidecar.handle
+
+        def watched(message, send):
+            if isinstance(message, messages.AdmissionQuery):
+                asked.append(message)
+            handle(message, send)
+
+        server.sidecar.handle = watched
+
+    for server in servers:
+        watch(server)
+    return asked
+
+
 def _objective(world, call, objective_ms):
     return dataclasses.replace(
         call, objective_ms=world.loop.now_ms() + objective_ms, route='r'
@@ -53,6 +73,22 @@
     assert world.runs(call.request_id) == 0
 
 
+def test_questions_do_not_multiply_under_overload(world):
+    """What all have refused a moment ago is not asked again."""
+    servers = [world.add(f'u{number}', slots=1) for number in range(3)]
+    for server in servers:
+        _fill(world, server, 1)
+    asked = _count_queries(servers)
+    for _ in range(20):
+        call = _objective(world, world.call(timeout_ms=40.0), 1.0)
+        result = world.result(world.send(call))
+        assert result.outcome is verdict.Outcome.NOT_RUN
+    assert len(asked) == len(servers)
+    world.run(0.05)
+    world.result(world.send(world.call(timeout_ms=40.0)))
+    assert len(asked) == 2 * len(servers)
+
+
 def test_silence_of_all_sidecars_does_not_refuse(world):
     """Without any reply the request is sent by what is known."""
     server = world.add('u1')
@@ -61,7 +97,7 @@
     held = server.sidecar.handle
 
     def handle(message, send):
-        if type(message).__name__ != 'AdmissionQuery':
+        if not isinstance(message, messages.AdmissionQuery):
             held(message, send)
 
     server.sidecar.handle = handle
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -42,8 +42,7 @@
 async def test_request_goes_to_another_node(site):
     """The second node finds the first by its seed in the store."""
     await site.add()
-    second = await site.add(beat=False)
-    site.upstreams[1].healthy = False
+    second = await site.add(beat=False, healthy=False)
     await site.eventually(lambda: second.routes.members_of('fees'))
     await site.eventually(lambda: len(second.membership.members()) == 2)
     status, _, _ = await site.ask(1)
