--- a/bench/cmd.py
+++ b/bench/cmd.py
@@ -12,6 +12,7 @@
 import tqdm
 import uvloop
 
+from bench import emulation
 from bench import experiment
 from bench import report
 
@@ -23,6 +24,8 @@
     'rounds', 0, 'Slices of each policy; 0 for the number in the file.'
 )
 
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of an emulation.')
+
 EXIT_INVALID_RESULT = 1
 EXIT_USAGE = 2
 
@@ -55,12 +58,15 @@
         0, 1 if a result is refused because the generator lagged, or 2
         for an unknown experiment or a mistake in its file.
     """
-    known = experiment.names()
+    known = [*experiment.names(), *emulation.PLANS]
     if _LIST.value or len(arguments) < 2:
         print('\n'.join(known))
         return 0
     valid = True
     for name in arguments[1:]:
+        if name in emulation.PLANS:
+            print(emulation.compare(name, _SEED.value))
+            continue
         try:
             plan = experiment.load_plan(name)
         except FileNotFoundError:
--- a/tests/test_configuration/test_relay.py
+++ b/tests/test_configuration/test_relay.py
@@ -16,7 +16,7 @@
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
 from tests import fake_store
-from tests import virtual
+from bench import virtual
 
 FEES = services.Service('fees', ('fees.example',))
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,7 +23,7 @@
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
 from jasminebeam import verdict
-from tests import virtual
+from bench import virtual
 
 ONE_WAY_S = 0.001
 TICK_S = 0.1
