--- a/tests/test_retries/test_registry.py
+++ b/tests/test_retries/test_registry.py
@@ -5,6 +5,8 @@
 import copy
 import dataclasses
 
+import pytest
+
 from jasminebeam.model import requests
 from jasminebeam.retries import registry
 from jasminebeam import verdict
@@ -24,9 +26,9 @@
     claimed_not_run: bool = False
 
 
-def _create():
+def _create(kind=registry.RequestRegistry):
     limits = registry.Limits(sessions=2, entries=2, retention_ms=10.0)
-    created = registry.RequestRegistry(limits)
+    created = kind(limits)
     return Sidecar(created, (created.open_session(), 1))
 
 
@@ -100,6 +102,30 @@
     assert _explore(_create(), DEPTH) > 1_000
 
 
+class _WithoutFloor(registry.RequestRegistry):
+    """Evicts entries without raising the floor of their session."""
+
+    def _evict_oldest(self):
+        self._finished.popitem(last=False)
+
+
+class _WithoutRevocations(registry.RequestRegistry):
+    """Does not remember what it has revoked."""
+
+    def revoke(self, request_id, now_ms):
+        """Forget the revocation at once."""
+        state = super().revoke(request_id, now_ms)
+        self._finished.pop(request_id, None)
+        return state
+
+
+@pytest.mark.parametrize('kind', [_WithoutFloor, _WithoutRevocations])
+def test_exploration_notices_a_missing_mechanism(kind):
+    """Without it some order runs a request twice or after a refusal."""
+    with pytest.raises(AssertionError):
+        _explore(_create(kind), DEPTH)
+
+
 def test_evicted_request_is_unknown_and_not_new():
     """A duplicate of an evicted request must not start again."""
     sidecar = _create()
