--- a/bench/emulation.py
+++ b/bench/emulation.py
@@ -91,6 +91,8 @@
         host was fast and had room.
     kb_between_domains : float
         Kilobytes between failure domains per request.
+    questions : float
+        Questions to sidecars of other nodes per request.
     """
 
     policy: str
@@ -105,6 +107,7 @@
     slow_starts: float
     avoidable_starts: float
     kb_between_domains: float
+    questions: float
 
 
 class _Load:
@@ -239,6 +242,7 @@
         slow_starts=sum(host.slow_starts for host in hosts) / starts,
         avoidable_starts=sum(host.avoidable_starts for host in hosts) / starts,
         kb_between_domains=world.bytes_between_domains / load.count / 1_000,
+        questions=world.questions / load.count,
     )
 
 
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import random
 import typing
@@ -202,6 +201,8 @@
 
     def _serve(self, frame: bytes) -> None:
         message = codec.decode(frame).unwrap()
+        if isinstance(message, messages.AdmissionQuery):
+            self._emulator.questions += 1
         self._server.sidecar.handle(message, self._reply)
 
     def _reply(self, message: messages.Message) -> None:
@@ -304,7 +305,8 @@
         self.fleet = fleet
         self.loop = virtual.VirtualLoop()
         self.bytes_between_domains = 0
-        self.frames: collections.Counter[str] = collections.Counter()
+        # Questions that sidecars were asked over a connection.
+        self.questions = 0
         generator = random.Random(seed)
         self.nodes = [
             Node(self, index, random.Random(generator.random()))
