--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -24,7 +24,11 @@
 from jasminebeam.telemetry import metrics
 from jasminebeam import verdict
 
+# A check of the upstream on the same host, as the users' bench plays it.
 CHECK_S = 0.001
+
+# Nodes that a policy compares: all of an emulated service.
+MAX_NODES = 16
 TICK_S = 0.15
 STATUS_OK = 200
 
@@ -220,61 +224,64 @@
     def __init__(
         self, emulator: Emulator, index: int, generator: random.Random
     ) -> None:
-        fleet = emulator.fleet
         self._emulator = emulator
-        self.member = upstreams.Member(
-            node_id=f'n{index}',
-            address=f'n{index}',
-            failure_domain=f'd{index % fleet.domains}',
-            region='r',
-            incarnation=1,
-            version=1,
-            phase=upstreams.Phase.READY,
-            service=emulator.SERVICE,
-            slots=fleet.slots,
-        )
-        loop = emulator.loop
+        self.member = _member(emulator, index)
         self.metrics = metrics.Metrics()
-        log = events.EventLog(self.member.node_id, self.metrics)
-        self.upstream = EmulatedUpstream(fleet, generator, loop)
-        self.sidecar = sidecar.Sidecar(
-            1,
-            sidecar.Limits(usable_ratio=fleet.usable_ratio),
-            log,
-            self.metrics,
-            loop.now_ms,
+        self._log = events.EventLog(self.member.node_id, self.metrics)
+        self.upstream = EmulatedUpstream(
+            emulator.fleet, generator, emulator.loop
         )
-        self.sidecar.attach(
-            upstreams.Announcement(emulator.SERVICE, 1, slots=fleet.slots),
-            self.upstream,
-        )
-        self.upstream.on_report = self.sidecar.on_report
+        self.sidecar = self._create_sidecar()
         self.routes = table.RoutingTable(
             table.Place(self.member.node_id, self.member.failure_domain, 'r')
         )
-        factory = pool.LinkFactory(
-            self, messages.Hello(self.member.node_id, index + 1)
-        )
         self.pool = pool.PeerPool(
             self.member.node_id,
-            factory,
+            pool.LinkFactory(
+                self, messages.Hello(self.member.node_id, index + 1)
+            ),
             self.sidecar,
             self.routes,
-            loop.now_ms,
-            log,
+            emulator.loop.now_ms,
+            self._log,
             self.metrics,
         )
-        weights = scoring.Weights(other_domain_ms=fleet.other_domain_ms)
-        self.dispatcher = dispatcher.Dispatcher(
+        self.dispatcher = self._create_dispatcher(generator)
+
+    def _create_sidecar(self) -> sidecar.Sidecar:
+        fleet = self._emulator.fleet
+        created = sidecar.Sidecar(
+            1,
+            sidecar.Limits(usable_ratio=fleet.usable_ratio),
+            self._log,
+            self.metrics,
+            self._emulator.loop.now_ms,
+        )
+        created.attach(
+            upstreams.Announcement(self.member.service, 1, slots=fleet.slots),
+            self.upstream,
+        )
+        self.upstream.on_report = created.on_report
+        return created
+
+    def _create_dispatcher(
+        self, generator: random.Random
+    ) -> dispatcher.Dispatcher:
+        clock = self._emulator.loop.now_ms
+        weights = scoring.Weights(
+            other_domain_ms=self._emulator.fleet.other_domain_ms
+        )
+        return dispatcher.Dispatcher(
             selection.Selector(
-                self.routes, policies.create_all(generator, 16, weights)
+                self.routes,
+                policies.create_all(generator, MAX_NODES, weights),
             ),
             self.pool,
             generator,
-            dispatcher.Clocks(loop.now_ms, loop.now_ms),
-            log,
+            dispatcher.Clocks(clock, clock),
+            self._log,
             self.metrics,
-            asking.Asker(self.pool, weights, loop.now_ms),
+            asking.Asker(self.pool, weights, clock),
         )
 
     def open(
@@ -288,6 +295,20 @@
         return _Wire(self._emulator, (self, server), on_frame)
 
 
+def _member(emulator: Emulator, index: int) -> upstreams.Member:
+    return upstreams.Member(
+        node_id=f'n{index}',
+        address=f'n{index}',
+        failure_domain=f'd{index % emulator.fleet.domains}',
+        region='r',
+        incarnation=1,
+        version=1,
+        phase=upstreams.Phase.READY,
+        service=emulator.SERVICE,
+        slots=emulator.fleet.slots,
+    )
+
+
 class Emulator:
     """All nodes and the links between them.
 
