--- a/tests/test_configuration/test_relay.py
+++ b/tests/test_configuration/test_relay.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from bench import virtual
 from jasminebeam.configuration import changes
 from jasminebeam.configuration import directory
 from jasminebeam.configuration import relay
@@ -16,7 +17,6 @@
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
 from tests import fake_store
-from bench import virtual
 
 FEES = services.Service('fees', ('fees.example',))
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,6 +8,7 @@
 import random
 import typing
 
+from bench import virtual
 from jasminebeam.ingress import asking
 from jasminebeam.ingress import dispatcher
 from jasminebeam.model import requests
@@ -23,7 +24,6 @@
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
 from jasminebeam import verdict
-from bench import virtual
 
 ONE_WAY_S = 0.001
 TICK_S = 0.1
