--- a/jasminebeam/ingress/asking.py
+++ b/jasminebeam/ingress/asking.py
@@ -30,7 +30,6 @@
 # refuse: three ways between failure domains open a connection.
 LATE_REPLY_MS = 25.0
 
-
 # For this time after all sidecars have refused, the answer is the same: a
 # slot becomes free about as often, and many requests wait for it.
 REFUSED_FOR_MS = 10.0
