--- a/tests/test_platform/test_callers.py
+++ b/tests/test_platform/test_callers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jasminebeam.model import routes
+from jasminebeam.peering import messages
 from tests import platform_site
 
 
@@ -45,3 +46,21 @@
     await site.add()
     (rank,) = await _priorities(site, 'elsewhere.1')
     assert rank != routes.NESTED_PRIORITY
+
+
+async def test_objective_counts_from_the_first_attempt(site):
+    """A caller that comes back with less time is more urgent, or late."""
+    node = await site.add()
+    left_us = []
+    handle = node.sidecar.handle
+
+    def watched(message, send):
+        if isinstance(message, messages.Request):
+            left_us.append(message.objective_left_us)
+        handle(message, send)
+
+    node.sidecar.handle = watched
+    for number, left_ms in enumerate((1_000, 1_000, 1_000, 600)):
+        await site.ask(left_ms=left_ms, request_id=f'r{number}')
+    *first, returned = left_us
+    assert returned < min(first) - 300_000
