Let the event loop own the sockets of HTTP connections

Cause: aiohttp creates a socket object and passes its descriptor to the event loop. If the set-up is cancelled, uvloop closes the descriptor, but the object lives on in a traceback and closes the same number again when it is collected. By then the number may belong to another connection. A check of the host's slowness is cancelled after 50 ms, so this happened on a busy host.

Ruled out: detaching the object when the set-up fails, because asyncio's own loop closes through the object; set-ups in tasks of their own, because they outlive their request and count against no limit.

Change: one connector for upstreams and both stores asks the loop to open the connection.

The same connector ends responses that have no end: interim responses, headers, bodies, chunk extensions, trailers and bytes that are no HTTP all count against one limit. Bodies of health checks and of store answers are limited too. Before, a chunk extension or a health check was read for as long as it came.

Background tasks restart after an unexpected error, with event 103. A test throws into each. Malformed answers of a store are a result, not an error that ends the task which asked.

--- a/jasminebeam/adapters.py
+++ b/jasminebeam/adapters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import ssl
 import typing
 
@@ -18,6 +19,7 @@
     from jasminebeam import node as node_module
     from jasminebeam import settings as settings_module
     from jasminebeam.store import store
+    from jasminebeam import supervision
     from jasminebeam.telemetry import metrics
 
 
@@ -31,10 +33,6 @@
         """Stop listening and close the connections."""
 
 
-# Coroutine that a node runs as a background task.
-Task = typing.Coroutine[None, None, None]
-
-
 class NodeAdapter(typing.Protocol):
     """Adapter between a node and its callers, upstream, store and operators.
 
@@ -70,8 +68,11 @@
 
     def create_tasks(
         self, node: node_module.Node, backend: store.Store
-    ) -> list[Task]:
-        """Return the tasks that load the configuration into the node."""
+    ) -> list[supervision.Start]:
+        """Return the functions that load the configuration into the node.
+
+        The node runs each as a background task and restarts it on failure.
+        """
 
 
 class NativeAdapter:
@@ -123,7 +124,7 @@
 
     def create_tasks(
         self, node: node_module.Node, backend: store.Store
-    ) -> list[Task]:
+    ) -> list[supervision.Start]:
         """Return the tasks of the initial load and of the relay.
 
         Without a store, the list is empty.
@@ -145,7 +146,8 @@
             node.generator,
             node.log,
         )
-        return [_bootstrap(node, backend, store_relay), store_relay.run()]
+        bootstrap = functools.partial(_bootstrap, node, backend, store_relay)
+        return [bootstrap, store_relay.run]
 
 
 async def _bootstrap(
--- a/jasminebeam/configuration/relay.py
+++ b/jasminebeam/configuration/relay.py
@@ -14,6 +14,7 @@
 from jasminebeam.routing import subset
 from jasminebeam.store import availability
 from jasminebeam.store import store
+from jasminebeam import supervision
 from jasminebeam.telemetry import events
 
 if typing.TYPE_CHECKING:
@@ -177,7 +178,9 @@
         return 0
 
     async def _hold(self, lease_id: int) -> None:
-        watching = asyncio.create_task(self._watch())
+        watching = asyncio.create_task(
+            supervision.supervise(self._watch, self._log)
+        )
         try:
             await self._keep_alive(lease_id)
         finally:
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -33,6 +33,7 @@
 from jasminebeam.routing import selection
 from jasminebeam.routing import table
 from jasminebeam.sidecar import sidecar
+from jasminebeam import supervision
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
 from jasminebeam.upstreams import client
@@ -164,20 +165,19 @@
         self._servers = self._adapter.create_servers(self)
         for server in self._servers:
             await server.start()
-        for task in self._adapter.create_tasks(self, self._store):
-            self._spawn(task)
+        for start in self._adapter.create_tasks(self, self._store):
+            self._supervise(start)
         await self._callers.start(
             settings.callers.host or settings.node.host, settings.callers.port
         )
-        self._spawn(
-            self.membership.run(
-                self._gossip_options.interval_ms, self.generator
-            )
-        )
-        self._spawn(self._tick_peers())
-        self._spawn(self._tick_sidecar())
-        self._spawn(self._probe())
-        self._spawn(self._read_load())
+        for start in (
+            self._run_membership,
+            self._tick_peers,
+            self._tick_sidecar,
+            self._probe,
+            self._read_load,
+        ):
+            self._supervise(start)
         self.log.write(
             events.Event.NODE_STARTED,
             host=settings.node.host,
@@ -485,6 +485,11 @@
     def _on_key_refused(self, public_key: str) -> None:
         self.log.write(events.Event.PEER_UNAUTHORIZED, public_key=public_key)
 
+    async def _run_membership(self) -> None:
+        await self.membership.run(
+            self._gossip_options.interval_ms, self.generator
+        )
+
     async def _tick_peers(self) -> None:
         interval_s = self._settings.peering.tick_ms / 1_000
         while True:
@@ -550,6 +555,9 @@
         await self.sidecar.close()
         self._context.destroy(linger=0)
 
+    def _supervise(self, start: supervision.Start) -> None:
+        self._spawn(supervision.supervise(start, self.log))
+
     def _spawn(self, coroutine: typing.Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/jasminebeam/platform/adapter.py
+++ b/jasminebeam/platform/adapter.py
@@ -20,6 +20,7 @@
     from jasminebeam.model import routes
     from jasminebeam import node as node_module
     from jasminebeam.store import store as store_module
+    from jasminebeam import supervision
     from jasminebeam.telemetry import metrics
 
 SEED_LEASE_S = 10
@@ -100,7 +101,7 @@
 
     def create_tasks(
         self, node: node_module.Node, backend: store_module.Store
-    ) -> list[adapters.Task]:
+    ) -> list[supervision.Start]:
         """Return the tasks that watch the routes and register as a seed."""
         local_member = node.membership.local_member
         watcher = route_watcher.RouteWatcher(
@@ -118,7 +119,7 @@
             node.generator,
             node.log,
         )
-        return [watcher.watch(), watcher.maintain_seed_registration()]
+        return [watcher.watch, watcher.maintain_seed_registration]
 
     def replace(self, loaded: settings.PlatformSettings) -> None:
         """Apply those changed settings that need no restart."""
--- a/jasminebeam/platform/program.py
+++ b/jasminebeam/platform/program.py
@@ -16,6 +16,7 @@
 from jasminebeam import node
 from jasminebeam.platform import adapter
 from jasminebeam.platform import settings
+from jasminebeam import supervision
 from jasminebeam.telemetry import events
 
 SETTINGS_VARIABLE = 'JASMINEBEAM_SETTINGS'
@@ -77,7 +78,9 @@
     await running_node.start()
     reloader = _SettingsReloader(path, running_node, platform_adapter, loaded)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    polling = loop.create_task(reloader.run())
+    polling = loop.create_task(
+        supervision.supervise(reloader.run, running_node.log)
+    )
     # Objects allocated during start-up live as long as the process. Freezing
     # them saves the garbage collector from scanning them.
     gc.collect()
--- a/jasminebeam/platform/store.py
+++ b/jasminebeam/platform/store.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import base64
-import socket
 import typing
 
 import aiohttp
 import msgspec
 from returns import result
 
+from jasminebeam import http_client
 from jasminebeam.store import store
 
 if typing.TYPE_CHECKING:
@@ -21,11 +21,8 @@
 # Time beyond the wait within which the store must answer a poll.
 WATCH_SLACK_S = 2.0
 
-# TCP keep-alive detects within about 3 s that a connection is dead.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-TCP_USER_TIMEOUT_MS = 3_000
+# A page of a listing holds about 1 MB, or one value of 1 MiB in Base64.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 _OK = 200
 _NOT_FOUND = 404
@@ -84,13 +81,12 @@
         self._base = f'http://{address}/v1/'
         self._timeout_s = timeout_ms / 1_000
         self._counters = counters
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(socket_factory=_create_socket),
-            timeout=aiohttp.ClientTimeout(total=None),
+        self._session = http_client.create_session(
+            http_client.Connector(
+                MAX_BODY_BYTES, socket_options=http_client.KEEP_ALIVE
+            ),
+            aiohttp.ClientTimeout(total=None),
         )
-        # Disables aiohttp's repetition of requests after a lost connection.
-        # A repeated write would hide that the first one took effect.
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close the connections."""
@@ -106,7 +102,10 @@
         status, body = answer
         if status == _NOT_FOUND:
             return result.Success(None)
-        return self._decode(body, _Item).map(_key_value)
+        item = self._decode(body, _Item).value_or(None)
+        if item is None:
+            return _UNAVAILABLE
+        return result.Success(next(self._key_values([item]), None))
 
     async def list(
         self, prefix: str
@@ -128,7 +127,7 @@
             # The pages are not one snapshot: keys may change between them.
             # A watch must start at the revision of the first page.
             revision = revision or page.current_rev
-            found.extend(map(_key_value, page.items))
+            found.extend(self._key_values(page.items))
             if not page.truncated or not page.items:
                 return result.Success(store.Listing(revision, tuple(found)))
             after = page.items[-1].key
@@ -223,9 +222,8 @@
             found = self._decode(answer[1], _Events).value_or(None)
             if found is None:
                 return
-            for event in found.events:
-                if not event.deleted:
-                    yield _key_value(event)
+            for item in self._key_values(found.events):
+                yield item
             after = found.current_rev
 
     async def _call(
@@ -250,7 +248,9 @@
                     if data is not None
                     else None,
                 ) as response:
-                    content = await response.read()
+                    content = await http_client.read_body(
+                        response, MAX_BODY_BYTES
+                    )
         except (aiohttp.ClientError, TimeoutError, OSError):
             self._count(kind, 'unavailable')
             return None
@@ -270,25 +270,23 @@
             self._count('answer', 'malformed')
             return _UNAVAILABLE
 
-    def _count(self, kind: str, outcome: str) -> None:
-        self._counters.store_calls.labels(kind, outcome).inc()
+    def _key_values(
+        self, items: typing.Iterable[_Item]
+    ) -> typing.Iterator[store.KeyValue]:
+        """Yield the items that exist; skip values that are not Base64.
 
+        Other writers share the store, so one malformed value must not hide
+        the others.
+        """
+        for item in items:
+            if item.deleted:
+                continue
+            try:
+                value = base64.b64decode(item.value, validate=True)
+            except ValueError:
+                self._count('value', 'malformed')
+                continue
+            yield store.KeyValue(item.key, value, item.revision)
 
-def _key_value(item: _Item) -> store.KeyValue:
-    return store.KeyValue(
-        item.key, base64.b64decode(item.value), item.revision
-    )
-
-
-def _create_socket(address: typing.Any) -> socket.socket:
-    family, socket_type, protocol, _, _ = address
-    created = socket.socket(family, socket_type, protocol)
-    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        created.setsockopt(socket.IPPROTO_TCP, option, value)
-    return created
+    def _count(self, kind: str, outcome: str) -> None:
+        self._counters.store_calls.labels(kind, outcome).inc()
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -17,6 +17,7 @@
 from jasminebeam.peering import messages
 from jasminebeam.retries import idempotency
 from jasminebeam.retries import registry
+from jasminebeam import supervision
 from jasminebeam.telemetry import events
 from jasminebeam import verdict
 
@@ -381,7 +382,11 @@
     def _start_polling(self) -> None:
         self._poll_wanted.set()
         if self._poll_task is None or self._poll_task.done():
-            self._poll_task = asyncio.create_task(self._poll_slowness())
+            self._poll_task = asyncio.create_task(
+                supervision.supervise(
+                    self._poll_slowness, self._log, SLOWNESS_POLL_INTERVAL_S
+                )
+            )
 
     async def _poll_slowness(self) -> None:
         """Poll the host's slowness while requests wait for a decision."""
@@ -493,7 +498,7 @@
         task: asyncio.Task[verdict.Verdict],
     ) -> None:
         now_ms = self._clock()
-        result = _result_of(task)
+        result = self._result_of(task)
         self._counters.runs.labels(result.outcome.value).inc()
         active = self._active[request_id]
         self._running.discard(active.call.request_id)
@@ -520,6 +525,20 @@
         self._finish(request_id, result, now_ms)
         self._apply_released(released, now_ms)
 
+    def _result_of(
+        self, task: asyncio.Task[verdict.Verdict]
+    ) -> verdict.Verdict:
+        if task.cancelled():
+            return verdict.may_have_run(verdict.Reason.CANCELLED)
+        if task.exception() is None:
+            return task.result()
+        self._log.write(
+            events.Event.TASK_FAILED,
+            task=task.get_coro().__qualname__,
+            error=repr(task.exception()),
+        )
+        return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
+
     def _finish(
         self,
         request_id: registry.RequestId,
@@ -646,14 +665,6 @@
         )
 
 
-def _result_of(task: asyncio.Task[verdict.Verdict]) -> verdict.Verdict:
-    if task.cancelled():
-        return verdict.may_have_run(verdict.Reason.CANCELLED)
-    if task.exception() is not None:
-        return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
-    return task.result()
-
-
 def _call_from(message: messages.Request, now_ms: float) -> requests.Call:
     return requests.Call(
         request_id=message.request_id,
--- a/jasminebeam/store/etcd.py
+++ b/jasminebeam/store/etcd.py
@@ -4,17 +4,26 @@
 
 import base64
 import json
+import math
 import typing
 
 import aiohttp
 from returns import result
 
+from jasminebeam import http_client
 from jasminebeam.store import store
 
 if typing.TYPE_CHECKING:
     from jasminebeam.telemetry import metrics
 
 WATCH_IDLE_TIMEOUT_S = 30.0
+T = typing.TypeVar('T')
+
+# Errors that decoding a malformed answer raises. `ValueError` includes
+# invalid JSON, Base64 and UTF-8, and lines over the limit.
+_MALFORMED = (ValueError, LookupError, TypeError, AttributeError)
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
 class EtcdStore:
@@ -35,12 +44,10 @@
     ) -> None:
         self._endpoint = endpoint.rstrip('/')
         self._counters = counters
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=timeout_ms / 1_000)
+        self._session = http_client.create_session(
+            http_client.Connector(MAX_BODY_BYTES),
+            aiohttp.ClientTimeout(total=timeout_ms / 1_000),
         )
-        # aiohttp must not repeat a write: the repetition fails with a
-        # conflict, which hides that the first write took effect.
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close the connections."""
@@ -50,16 +57,14 @@
         self, key: str
     ) -> result.Result[store.KeyValue | None, store.StoreError]:
         """Return a key and its value, or None if it does not exist."""
-        response = await self._call('kv/range', {'key': _encode(key)})
-        return response.map(_first_item)
+        return await self._call('kv/range', {'key': _encode(key)}, _first_item)
 
     async def list(
         self, prefix: str
     ) -> result.Result[store.Listing, store.StoreError]:
         """Return the keys that start with a prefix."""
         body = {'key': _encode(prefix), 'range_end': _range_end(prefix)}
-        response = await self._call('kv/range', body)
-        return response.map(_listing)
+        return await self._call('kv/range', body, _listing)
 
     async def compare_and_set(
         self,
@@ -81,29 +86,28 @@
             'mod_revision': str(expected_revision),
         }
         body = {'compare': [compare], 'success': [{'request_put': put}]}
-        response = await self._call('kv/txn', body)
-        return response.bind(_written_revision)
+        return await self._call('kv/txn', body, _written_revision)
 
     async def grant_lease(
         self, ttl_s: int
     ) -> result.Result[int, store.StoreError]:
         """Create a lease and return its identifier."""
-        response = await self._call('lease/grant', {'TTL': str(ttl_s)})
-        return response.map(lambda document: int(document['ID']))
+        body = {'TTL': str(ttl_s)}
+        return await self._call('lease/grant', body, _lease_id)
 
     async def keep_alive(
         self, lease_id: int
     ) -> result.Result[int, store.StoreError]:
         """Renew a lease and return its time to live in seconds."""
-        response = await self._call('lease/keepalive', {'ID': str(lease_id)})
-        return response.bind(_ttl)
+        body = {'ID': str(lease_id)}
+        return await self._call('lease/keepalive', body, _ttl)
 
     async def revoke_lease(
         self, lease_id: int
     ) -> result.Result[None, store.StoreError]:
         """End a lease and delete its keys."""
-        response = await self._call('lease/revoke', {'ID': str(lease_id)})
-        return response.map(lambda document: None)
+        body = {'ID': str(lease_id)}
+        return await self._call('lease/revoke', body, _nothing)
 
     async def watch(
         self, prefix: str, from_revision: int
@@ -125,25 +129,38 @@
                 json={'create_request': request},
                 timeout=timeout,
             ) as response:
+                # The stream has no end; aiohttp limits each line.
+                response.connection.protocol.limit_bytes = math.inf
                 async for line in response.content:
                     for item in _watch_items(line):
                         yield item
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, OSError):
             self._count('watch', 'lost')
+        except _MALFORMED:
+            self._count('watch', 'malformed')
 
     async def _call(
-        self, path: str, body: dict[str, typing.Any]
-    ) -> result.Result[dict[str, typing.Any], store.StoreError]:
+        self,
+        path: str,
+        body: dict[str, typing.Any],
+        decode: typing.Callable[
+            [dict[str, typing.Any]], result.Result[T, store.StoreError]
+        ],
+    ) -> result.Result[T, store.StoreError]:
         url = f'{self._endpoint}/v3/{path}'
         try:
             async with self._session.post(url, json=body) as response:
-                document = await response.json(content_type=None)
+                content = await http_client.read_body(response, MAX_BODY_BYTES)
                 if response.status != 200:
                     return self._unavailable(path)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            decoded = decode(json.loads(content))
+        except (aiohttp.ClientError, TimeoutError, OSError):
             return self._unavailable(path)
+        except _MALFORMED:
+            self._count(path, 'malformed')
+            return result.Failure(store.StoreError.UNAVAILABLE)
         self._count(path, 'ok')
-        return result.Success(document)
+        return decoded
 
     def _unavailable(
         self, path: str
@@ -173,18 +190,36 @@
     )
 
 
-def _first_item(document: dict[str, typing.Any]) -> store.KeyValue | None:
+def _first_item(
+    document: dict[str, typing.Any],
+) -> result.Result[store.KeyValue | None, store.StoreError]:
     items = document.get('kvs', [])
-    return _item(items[0]) if items else None
+    return result.Success(_item(items[0]) if items else None)
 
 
-def _listing(document: dict[str, typing.Any]) -> store.Listing:
-    return store.Listing(
-        revision=int(document['header']['revision']),
-        items=tuple(map(_item, document.get('kvs', []))),
+def _listing(
+    document: dict[str, typing.Any],
+) -> result.Result[store.Listing, store.StoreError]:
+    return result.Success(
+        store.Listing(
+            revision=int(document['header']['revision']),
+            items=tuple(map(_item, document.get('kvs', []))),
+        )
     )
 
 
+def _lease_id(
+    document: dict[str, typing.Any],
+) -> result.Result[int, store.StoreError]:
+    return result.Success(int(document['ID']))
+
+
+def _nothing(
+    document: dict[str, typing.Any],
+) -> result.Result[None, store.StoreError]:
+    return result.Success(None)
+
+
 def _written_revision(
     document: dict[str, typing.Any],
 ) -> result.Result[int, store.StoreError]:
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import contextvars
-import functools
 import re
 import socket
 import typing
 
 import aiohttp
-from aiohttp import client_proto
 import yarl
 
+from jasminebeam import http_client
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
 from jasminebeam import verdict
@@ -28,6 +27,7 @@
 
 CONNECT_TIMEOUT_S = 0.25
 HEALTH_TIMEOUT_S = 1.0
+MAX_HEALTH_BYTES = 64 * 1024
 
 # Share of the upstream's idle timeout for which a connection is reused. The
 # rest is a margin: a request sent just before the timeout could arrive after
@@ -53,7 +53,7 @@
         """Close the connections."""
 
 
-class _ResetAwareProtocol(client_proto.ResponseHandler):
+class _ResetAwareProtocol(http_client.LimitedProtocol):
     """Records whether the connection ended with a reset."""
 
     was_reset = False
@@ -76,23 +76,16 @@
         super().connection_lost(exc)
 
 
-class CheckedConnector(aiohttp.TCPConnector):
-    """Does not reuse a connection that has received unsolicited bytes."""
-
-    def __init__(self, **options: typing.Any) -> None:
-        super().__init__(**options)
-        self._factory = functools.partial(_ResetAwareProtocol, loop=self._loop)
+class UpstreamConnector(http_client.Connector):
+    """Reports the protocol of each connection that it returns."""
 
     async def connect(
         self, *args: typing.Any, **kwargs: typing.Any
     ) -> aiohttp.connector.Connection:
-        """Return a connection without unsolicited bytes."""
-        while True:
-            connection = await super().connect(*args, **kwargs)
-            if not connection.protocol.should_close:
-                _current_protocol.set(connection.protocol)
-                return connection
-            connection.close()
+        """Return a connection and record its protocol for the caller."""
+        connection = await super().connect(*args, **kwargs)
+        _current_protocol.set(connection.protocol)
+        return connection
 
     def set_idle_limit(self, idle_s: float) -> None:
         """Set for how long an idle connection may be reused."""
@@ -131,23 +124,18 @@
         self._dialect = dialect
         self._on_report = on_report
         self._base_url = f'http://{announcement.host}:{announcement.port}'
-        self._connector = CheckedConnector(
+        self._connector = UpstreamConnector(
+            max_answer_bytes,
+            _ResetAwareProtocol,
             limit=announcement.connections,
             ttl_dns_cache=None,
             keepalive_timeout=INITIAL_REUSE_S,
         )
-        self._session = aiohttp.ClientSession(
-            connector=self._connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
+        self._session = http_client.create_session(
+            self._connector,
+            aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             skip_auto_headers=_SKIPPED_HEADERS,
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_S
-            ),
         )
-        # By default, aiohttp resends GET, HEAD, PUT and DELETE requests after
-        # it loses the connection.
-        self._session._retry_connection = False
 
     async def run(
         self, call: requests.Call, timeout_ms: float
@@ -163,6 +151,8 @@
             return verdict.not_run(verdict.Reason.CONNECT_FAILED)
         except TimeoutError:
             return verdict.may_have_run(verdict.Reason.UPSTREAM_TIMEOUT)
+        except http_client.ResponseTooLargeError:
+            return verdict.may_have_run(verdict.Reason.ANSWER_TOO_LARGE)
         except (aiohttp.ClientError, ConnectionError):
             return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
 
@@ -176,7 +166,9 @@
                 async with self._session.get(
                     self._base_url + target
                 ) as response:
-                    body = await response.read()
+                    body = await http_client.read_body(
+                        response, MAX_HEALTH_BYTES
+                    )
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
         health = self._dialect.read_health(
@@ -203,9 +195,9 @@
             allow_redirects=False,
         ) as response:
             protocol = _current_protocol.get()
-            body = await self._read_body(response)
-            if body is None:
-                return verdict.may_have_run(verdict.Reason.ANSWER_TOO_LARGE)
+            body = await http_client.read_body(
+                response, self._max_answer_bytes
+            )
             if _is_truncated(response, protocol):
                 return verdict.may_have_run(verdict.Reason.ANSWER_TRUNCATED)
             result = self._classify(call, response, body)
@@ -215,21 +207,6 @@
                 protocol.close()
             return result
 
-    async def _read_body(
-        self, response: aiohttp.ClientResponse
-    ) -> bytes | None:
-        length = response.content_length
-        if length is not None and length > self._max_answer_bytes:
-            return None
-        chunks = []
-        size_bytes = 0
-        async for chunk in response.content.iter_any():
-            size_bytes += len(chunk)
-            if size_bytes > self._max_answer_bytes:
-                return None
-            chunks.append(chunk)
-        return b''.join(chunks)
-
     def _classify(
         self,
         call: requests.Call,
