Process pipelined idempotent requests at the same time

Cause: of the ballot mesh's callers most send further requests before the first answer, and a connection worked on one after the other, so a lookup waited for the whole of those before it. Its time also counted from its turn, not from its arrival, so upstreams were given more than was left. Routes of the kind 'download' were neither retried nor hedged.

Ruled out: slots of the upstreams (mostly empty) and slow hosts (the other classes were served in time).

Change: up to four requests of one connection run at once while all before them are idempotent; answers keep their order. Others start only when all answers before them are written, so none behind a closing answer has run. A stop first answers what has started. The time of a request counts from its arrival; one whose time has passed is refused as not run instead of being sent. Requests before a malformed one in the same data are answered, a malformed body ends its connection instead of leaving it open, and a request without end is closed, counted and logged. Downloads are idempotent.

The tests of the raw connections fail without the change.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -39,10 +39,16 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.callers: set[str] = set()
         self.time_left_ms: list[int] = []
+        # Requests that end only after their event is set, by identifier.
+        self.held: dict[str, asyncio.Event] = {}
+        self.started: list[str] = []
+        self.cancelled: list[str] = []
         self._running = 0
         self._sequence = 0
-        server = web.Server(self._handle, access_log=None)
-        self._runner = web.ServerRunner(server, handler_cancellation=True)
+        server = web.Server(
+            self._handle, access_log=None, handler_cancellation=True
+        )
+        self._runner = web.ServerRunner(server)
 
     async def start(self) -> None:
         """Listen."""
@@ -120,8 +126,14 @@
         self.callers.add(request.headers.get('Caller-Service', ''))
         self.time_left_ms.append(int(request.headers['Deadline-Ms']))
         self._running += 1
+        self.started.append(request_id)
         try:
             await asyncio.sleep(self.service_time_s)
+            if request_id in self.held:
+                await self.held[request_id].wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request_id)
+            raise
         finally:
             self._running -= 1
         if self.behaviour == 'close':
--- a/jasminebeam/callers/connections.py
+++ b/jasminebeam/callers/connections.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import typing
 
+from aiohttp import http_parser
+from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
 
-from jasminebeam.model import routes
+from jasminebeam.callers import pipelining
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import routes
 
 # The server closes an idle connection by this margin later than the idle
 # timeout. A caller with the same timeout then stops reusing the connection
@@ -16,19 +22,61 @@
 IDLE_MARGIN_S = 1.0
 
 
+# Bytes of a request besides its header and body, such as chunk extensions.
+FRAMING_BYTES = 64 * 1024
+
+_HEADER_END = b'\r\n\r\n'
+
+
+class RequestProcessor(typing.Protocol):
+    """Answers the requests of all connections."""
+
+    @property
+    def limits(self) -> routes.CallerLimits:
+        """Limits in force."""
+
+    @property
+    def stopping(self) -> bool:
+        """True while connections are closed with their next response."""
+
+    def now_ms(self) -> float:
+        """Return the monotonic time."""
+
+    def is_idempotent(self, message: pipelining.Message) -> bool:
+        """Return True if the request of a message may run more than once."""
+
+    async def respond(
+        self, request: web.BaseRequest, arrived_ms: float
+    ) -> web.StreamResponse:
+        """Return the response to a request."""
+
+    def on_oversized(self, received_bytes: int) -> None:
+        """Record a request whose bytes exceed all limits."""
+
+    def on_error(self, status: int, error: BaseException | None) -> None:
+        """Record a malformed request or a failed handler."""
+
+
 class LimitedConnection(web_protocol.RequestHandler):
-    """Closes a connection on a header timeout or an idle timeout.
+    """Limits time and bytes of requests; processes pipelined requests.
 
     Parameters
     ----------
     manager : LimitedServer
-        Provides the limits in force.
+        Server that created the connection.
+    processor : RequestProcessor
+        Answers the requests and provides the limits.
     options
         As for the base class.
     """
 
-    def __init__(self, manager: LimitedServer, **options: typing.Any) -> None:
-        limits = manager.limits()
+    def __init__(
+        self,
+        manager: LimitedServer,
+        processor: RequestProcessor,
+        **options: typing.Any,
+    ) -> None:
+        limits = processor.limits
         options['max_line_size'] = limits.header_bytes
         options['max_field_size'] = limits.header_bytes
         super().__init__(
@@ -36,28 +84,125 @@
             keepalive_timeout=limits.idle_timeout_ms / 1_000 + IDLE_MARGIN_S,
             **options,
         )
-        self._limits = manager.limits
+        self._processor = processor
         self._header_timer: asyncio.TimerHandle | None = None
+        self._pipeline = pipelining.PipelinedRequests(
+            processor.respond, processor.is_idempotent
+        )
+        # Body of the last message that arrived.
+        self._last_payload = streams.EMPTY_PAYLOAD
+        self._message_bytes = 0
 
     def data_received(self, data: bytes) -> None:
-        """Parse data; start the header timer if a header is incomplete."""
+        """Parse data; limit the time and the size of an incomplete message."""
+        if not self._last_payload.is_eof():
+            self._parse(data)
+            return
+        # If a message is malformed, the parser drops all messages of the
+        # same data. Parsing each header by itself keeps those before it.
+        for part in _split_after_headers(data):
+            self._parse(part)
+
+    def _parse(self, data: bytes) -> None:
         before = self._request_count
         super().data_received(data)
-        if self._request_count != before or self._current_request is not None:
+        arrived = self._request_count - before
+        if arrived:
+            self._on_messages(arrived)
+        self._limit_message(len(data))
+        if arrived or self._current_request is not None:
             self._stop_header_timer()
         elif self._header_timer is None and not self._messages:
             self._header_timer = self._loop.call_later(
-                self._limits().header_timeout_ms / 1_000, self.force_close
+                self._processor.limits.header_timeout_ms / 1_000,
+                self.force_close,
             )
 
+    async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Return the response of the request whose turn it is."""
+        message = request._message
+        self._start_pipelined(message)
+        response = await self._pipeline.respond(
+            request, message, self._processor.now_ms()
+        )
+        # A response that closes the connection tells the caller that the
+        # requests behind it did not run.
+        if self._processor.stopping and not self._pipeline.started:
+            response.force_close()
+        return response
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Stop the header timer when the connection ends."""
+        """Stop the timer and the requests when the connection ends."""
         self._stop_header_timer()
+        self._pipeline.cancel()
         super().connection_lost(exc)
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = http.HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a malformed request or a failed handler."""
+        self._processor.on_error(status, exc)
+        if request.writer.output_size > 0:
+            raise ConnectionError('a part of the response is already sent')
+        response = web.Response(
+            status=status, text=http.HTTPStatus(status).phrase
+        )
+        response.force_close()
+        return response
+
+    def _on_messages(self, count: int) -> None:
+        arrived = list(self._messages)[-count:]
+        if not self._last_payload.is_eof():
+            # Only a malformed body is followed by a message before its end.
+            self._processor.on_error(http.HTTPStatus.BAD_REQUEST, None)
+            self.force_close()
+            return
+        self._pipeline.on_arrival(
+            [
+                message
+                for message, _ in arrived
+                if isinstance(message, http_parser.RawRequestMessage)
+            ],
+            self._processor.now_ms(),
+        )
+        self._last_payload = arrived[-1][1]
+        current = self._current_request
+        self._start_pipelined(None if current is None else current._message)
+
+    def _start_pipelined(self, current: pipelining.Message | None) -> None:
+        if self._messages and not self._processor.stopping:
+            self._pipeline.start_waiting(
+                current, self._messages, self._create_request
+            )
+
+    def _create_request(
+        self, message: pipelining.Message, payload: streams.StreamReader
+    ) -> web.BaseRequest:
+        writer = web_protocol.StreamWriter(self, self._loop)
+        return self._request_factory(
+            message, payload, self, writer, self._task_handler
+        )
+
+    def _limit_message(self, size_bytes: int) -> None:
+        """Close a connection whose current message grows without end."""
+        if self._last_payload.is_eof():
+            self._message_bytes = 0
+            return
+        self._message_bytes += size_bytes
+        limits = self._processor.limits
+        limit_bytes = limits.header_bytes + 2 * limits.body_bytes
+        if self._message_bytes > limit_bytes + FRAMING_BYTES:
+            self._processor.on_oversized(self._message_bytes)
+            self.force_close()
+
     def _process_keepalive(self) -> None:
         # The idle timeout may have been raised since the connection opened.
-        idle_s = self._limits().idle_timeout_ms / 1_000 + IDLE_MARGIN_S
+        limits = self._processor.limits
+        idle_s = limits.idle_timeout_ms / 1_000 + IDLE_MARGIN_S
         started_s = self._next_keepalive_close_time - self._keepalive_timeout
         self._next_keepalive_close_time = max(
             self._next_keepalive_close_time, started_s + idle_s
@@ -70,30 +215,43 @@
             self._header_timer = None
 
 
+def _split_after_headers(data: bytes) -> list[bytes]:
+    """Return the parts of the data that end where a header may end.
+
+    Examples
+    --------
+    >>> _split_after_headers(b'one\\r\\n\\r\\ntwo\\r\\n\\r\\nthr')
+    [b'one\\r\\n\\r\\n', b'two\\r\\n\\r\\n', b'thr']
+    """
+    *parts, rest = data.split(_HEADER_END)
+    complete = [part + _HEADER_END for part in parts]
+    return [*complete, rest] if rest or not complete else complete
+
+
 class LimitedServer(web.Server):
     """Creates a `LimitedConnection` for each connection of a caller.
 
     Parameters
     ----------
-    handler : callable
-        Answers each request.
-    limits : callable
-        Returns the limits in force.
+    processor : RequestProcessor
+        Answers the requests and provides the limits.
     """
 
-    def __init__(
-        self,
-        handler: typing.Callable[..., typing.Any],
-        limits: typing.Callable[[], routes.CallerLimits],
-    ) -> None:
+    def __init__(self, processor: RequestProcessor) -> None:
         super().__init__(
-            handler,
+            _respond,
             handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
         )
-        self.limits = limits
+        self._processor = processor
 
     def __call__(self) -> LimitedConnection:
         """Return the protocol of a new connection."""
-        return LimitedConnection(self, loop=self._loop, **self._kwargs)
+        return LimitedConnection(
+            self, self._processor, loop=self._loop, **self._kwargs
+        )
+
+
+async def _respond(request: web.BaseRequest) -> web.StreamResponse:
+    return await request.protocol.respond(request)
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import http
 import typing
 
+from aiohttp import hdrs
 from aiohttp import web
 
 from jasminebeam.callers import connections
@@ -19,6 +21,7 @@
 if typing.TYPE_CHECKING:
     import random
 
+    from jasminebeam.callers import pipelining
     from jasminebeam.ingress import dispatcher
     from jasminebeam.routing import probing
     from jasminebeam.telemetry import metrics
@@ -83,11 +86,11 @@
         self._elapsed = elapsed.ElapsedEstimator()
         self._runner: web.ServerRunner | None = None
         self._in_progress = 0
-        self._stopping = False
+        self.stopping = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers."""
-        server = connections.LimitedServer(self._handle, self._limits)
+        server = connections.LimitedServer(self)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
@@ -105,7 +108,7 @@
             Time for which the server still accepts new requests, so that
             callers can switch to other nodes.
         """
-        self._stopping = True
+        self.stopping = True
         await asyncio.sleep(grace_s)
         for site in list(self._runner.sites):
             await site.stop()
@@ -113,31 +116,70 @@
             await asyncio.sleep(STOP_POLL_S)
         await self._runner.cleanup()
 
-    def _limits(self) -> routes.CallerLimits:
+    @property
+    def limits(self) -> routes.CallerLimits:
+        """Limits in force."""
         return self._matcher.limits or self._default_limits
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    def now_ms(self) -> float:
+        """Return the monotonic time."""
+        return self._clock()
+
+    def is_idempotent(self, message: pipelining.Message) -> bool:
+        """Return True if the request of a message may run more than once."""
+        return self._matcher.is_idempotent(
+            message.headers.get(hdrs.HOST, ''),
+            message.method,
+            message.url.path,
+        )
+
+    def on_oversized(self, received_bytes: int) -> None:
+        """Record a request whose bytes exceed all limits."""
+        self._counters.caller_errors.labels('oversized').inc()
+        self._log.write(
+            events.Event.REQUEST_OVERSIZED, received_bytes=received_bytes
+        )
+
+    def on_error(self, status: int, error: BaseException | None) -> None:
+        """Record a malformed request or a failed handler."""
+        self._counters.caller_errors.labels(str(status)).inc()
+        event = events.Event.REQUEST_MALFORMED
+        if status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            event = events.Event.REQUEST_FAILED
+        self._log.write(event, status=int(status), error=repr(error))
+
+    async def respond(
+        self, request: web.BaseRequest, arrived_ms: float
+    ) -> web.StreamResponse:
+        """Return the response to a request.
+
+        Parameters
+        ----------
+        request : BaseRequest
+            Request with a complete header.
+        arrived_ms : float
+            Monotonic time at which the header was complete. A request may
+            then have waited behind others on its connection.
+        """
         self._in_progress += 1
         try:
-            response = await self._respond(request)
+            return await self._respond(request, arrived_ms)
         except dialect_module.ProblemError as error:
             status = str(error.problem.status)
             self._counters.caller_errors.labels(status).inc()
-            response = self._dialect.write_problem(error.problem)
+            return self._dialect.write_problem(error.problem)
         finally:
             self._in_progress -= 1
-        if self._stopping:
-            response.force_close()
-        return response
 
-    async def _respond(self, request: web.BaseRequest) -> web.Response:
-        started_ms = self._clock()
+    async def _respond(
+        self, request: web.BaseRequest, started_ms: float
+    ) -> web.Response:
         match = self._matcher.route(request.host, request.method, request.path)
         if match is None:
             return self._refuse_unmatched(request)
         body = await self._read_body(request)
         call = self._create_call(request, match, body, started_ms)
-        result = await self._dispatcher.dispatch(call, match.service)
+        result = await self._dispatch(call, match)
         if match.service.probe_share:
             size_bytes = _wire_bytes(call, result)
             self._probes.on_request(match.service, size_bytes, started_ms)
@@ -149,6 +191,20 @@
         )
         return self._dialect.write_verdict(result, retry_after_ms)
 
+    async def _dispatch(
+        self, call: requests.Call, match: routes.RouteMatch
+    ) -> verdict.Verdict:
+        if self._clock() < call.deadline_ms:
+            return await self._dispatcher.dispatch(call, match.service)
+        # The caller's time has passed while the request waited behind others
+        # on its connection.
+        self._log.write(
+            events.Event.REQUEST_REFUSED,
+            request=call.request_id,
+            reason=verdict.Reason.DEADLINE.value,
+        )
+        return verdict.not_run(verdict.Reason.DEADLINE)
+
     def _refuse_unmatched(self, request: web.BaseRequest) -> web.Response:
         self._log.write(
             events.Event.REQUEST_UNMATCHED,
@@ -167,7 +223,7 @@
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         if not request.body_exists:
             return b''
-        limit_bytes = self._limits().body_bytes
+        limit_bytes = self.limits.body_bytes
         length = request.content_length
         if length is not None and length > limit_bytes:
             raise _too_large(limit_bytes)
--- /dev/null
+++ b/jasminebeam/callers/pipelining.py
@@ -0,0 +1,118 @@
+"""Concurrent processing of idempotent requests on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from aiohttp import http_parser
+from aiohttp import streams
+from aiohttp import web
+
+Respond = typing.Callable[
+    [web.BaseRequest, float], typing.Coroutine[None, None, web.StreamResponse]
+]
+Message = http_parser.RawRequestMessage
+
+# Requests of one connection that are processed at the same time.
+MAX_CONCURRENT = 4
+
+
+class PipelinedRequests:
+    """Requests of one connection that arrived before their turn.
+
+    Responses are written in the order of the requests. A request is
+    processed before its turn only while all requests before it on the
+    connection are idempotent as well, as RFC 9112 requires. A request
+    behind a response that closes the connection counts as not read, so a
+    request that is not idempotent never starts before its turn.
+
+    Parameters
+    ----------
+    respond : callable
+        Processes a request, given its arrival time in ms.
+    is_idempotent : callable
+        Returns whether a request may run more than once.
+    """
+
+    def __init__(
+        self,
+        respond: Respond,
+        is_idempotent: typing.Callable[[Message], bool],
+    ) -> None:
+        self._respond = respond
+        self._is_idempotent = is_idempotent
+        self._arrivals_ms: dict[int, float] = {}
+        self._tasks: dict[int, asyncio.Task[web.StreamResponse]] = {}
+
+    @property
+    def started(self) -> int:
+        """Number of requests that have started before their turn."""
+        return len(self._tasks)
+
+    def on_arrival(
+        self, messages: typing.Iterable[Message], now_ms: float
+    ) -> None:
+        """Record the arrival time of messages."""
+        for message in messages:
+            self._arrivals_ms[id(message)] = now_ms
+
+    def start_waiting(
+        self,
+        current: Message | None,
+        waiting: typing.Iterable[tuple[Message, streams.StreamReader]],
+        create_request: typing.Callable[..., web.BaseRequest],
+    ) -> None:
+        """Start the requests that may run beside those before them.
+
+        Parameters
+        ----------
+        current : RawRequestMessage or None
+            Message whose turn it is; None between two requests.
+        waiting : iterable
+            Messages behind it, in order, with their bodies.
+        create_request : callable
+            Returns the request of a message and its body.
+        """
+        if current is not None and not self._is_idempotent(current):
+            return
+        # Between two requests, the first one that waits is about to start.
+        is_next = current is None
+        for message, payload in waiting:
+            if len(self._tasks) >= MAX_CONCURRENT - 1:
+                return
+            if not self._may_start(message, payload):
+                return
+            if not is_next and id(message) not in self._tasks:
+                request = create_request(message, payload)
+                self._tasks[id(message)] = asyncio.ensure_future(
+                    self._respond(request, self._arrivals_ms[id(message)])
+                )
+            is_next = False
+
+    def _may_start(
+        self, message: Message, payload: streams.StreamReader
+    ) -> bool:
+        if id(message) not in self._arrivals_ms:
+            # The parser reports a malformed request in place of a message.
+            return False
+        return payload is streams.EMPTY_PAYLOAD and self._is_idempotent(
+            message
+        )
+
+    async def respond(
+        self, request: web.BaseRequest, message: Message, now_ms: float
+    ) -> web.StreamResponse:
+        """Return the response of the request whose turn it is."""
+        arrived_ms = self._arrivals_ms.pop(id(message), now_ms)
+        task = self._tasks.pop(id(message), None)
+        if task is None:
+            return await self._respond(request, arrived_ms)
+        return await task
+
+    def cancel(self) -> None:
+        """Cancel the requests that have started before their turn."""
+        for task in self._tasks.values():
+            task.cancel()
+        self._tasks.clear()
+        self._arrivals_ms.clear()
--- a/jasminebeam/configuration/directory.py
+++ b/jasminebeam/configuration/directory.py
@@ -102,6 +102,11 @@
             timeout_ms=service.timeout_ms,
         )
 
+    def is_idempotent(self, host: str, method: str, path: str) -> bool:
+        """Return True if a service matches and the request is idempotent."""
+        service = self.match(host, path)
+        return service is not None and service.is_idempotent(method, path)
+
     @property
     def digest(self) -> int:
         """64-bit digest of all revisions in force."""
--- a/jasminebeam/configuration/routes.py
+++ b/jasminebeam/configuration/routes.py
@@ -79,9 +79,18 @@
         self, host: str, method: str, path: str
     ) -> routes.RouteMatch | None:
         """Return the match of a request; None if no route matches."""
+        route = self._find(host, path)
+        return None if route is None else self._match(route)
+
+    def is_idempotent(self, host: str, method: str, path: str) -> bool:
+        """Return True if a route matches and its requests are idempotent."""
+        route = self._find(host, path)
+        return route is not None and route.idempotent
+
+    def _find(self, host: str, path: str) -> routes.Route | None:
         for route in self._by_host.get(host.partition(':')[0].lower(), ()):
             if path.startswith(route.path_prefix):
-                return self._match(route)
+                return route
         return None
 
     def _match(self, route: routes.Route) -> routes.RouteMatch:
--- a/jasminebeam/model/routes.py
+++ b/jasminebeam/model/routes.py
@@ -149,3 +149,6 @@
 
     def route(self, host: str, method: str, path: str) -> RouteMatch | None:
         """Return the match of a request; None if no route matches."""
+
+    def is_idempotent(self, host: str, method: str, path: str) -> bool:
+        """Return True if a route matches and its requests are idempotent."""
--- a/jasminebeam/platform/configuration.py
+++ b/jasminebeam/platform/configuration.py
@@ -10,8 +10,8 @@
 from jasminebeam.model import routes
 from jasminebeam.model import services
 
-# Value of a rule's `kind` if its requests may run more than once.
-_IDEMPOTENT_KIND = 'safe'
+# Values of a rule's `kind` if its requests may run more than once.
+_IDEMPOTENT_KINDS = ('safe', 'download')
 
 
 class _Match(msgspec.Struct, frozen=True):
@@ -120,7 +120,7 @@
         services=tuple(
             routes.WeightedService(part.service, part.weight) for part in parts
         ),
-        idempotent=rule.kind == _IDEMPOTENT_KIND,
+        idempotent=rule.kind in _IDEMPOTENT_KINDS,
         timeout_ms=int(action.timeout_ms),
         objective_ms=int(rule.aim_ms),
         max_attempts=action.max_attempts,
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -87,6 +87,13 @@
     ALL_REFUSE = EventKind(
         704, logbook.INFO, 'all sidecars that replied would refuse'
     )
+    REQUEST_OVERSIZED = EventKind(
+        705, logbook.WARNING, 'connection closed: request without end'
+    )
+    REQUEST_MALFORMED = EventKind(706, logbook.INFO, 'request malformed')
+    REQUEST_FAILED = EventKind(
+        707, logbook.ERROR, 'unexpected error while processing a request'
+    )
     REQUEST_REFUSED = EventKind(
         710, logbook.INFO, 'request ended without running'
     )
