Let a few delegates of each failure domain talk to the store

Change: nodes list the seeds by a cheap read that may be stale; if there are none, they wait for a random part of two seconds, so that the first register and the others join through them, one of the own domain and one of another. Two delegates of a domain register and watch, for as long as the members they know make them delegates. Members and routes reach the others by gossip. After the loss of a whole fleet a few nodes read the routes, with a probability that falls with the number of members. A poll after a change waits, so that a series of changes costs fewer calls.

Further ones: whole restart, parts that start apart, lost delegates, outage, malformed seeds.

--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -1,4 +1,4 @@
-"""Watch of the route set in the store and registration as a seed."""
+"""Watch of the route set in the store by a few delegates of the fleet."""
 
 from __future__ import annotations
 
@@ -10,25 +10,48 @@
 from returns import result
 
 from jasminebeam.configuration import routes as routes_module
+from jasminebeam.configuration import seeds
 from jasminebeam.store import availability
 from jasminebeam.store import store
+from jasminebeam import supervision
 from jasminebeam.telemetry import events
 
 if typing.TYPE_CHECKING:
     from jasminebeam.model import routes
 
-SEEDS_PREFIX = 'jasminebeam/seeds/'
-
 # A change must be in force within seconds after the store is available
 # again, so the maximum back-off stays well below one second.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
 
-# Number of seeds that a node contacts to join. Each seed knows all members
-# after a few seconds.
-MAX_JOIN_SEEDS = 5
 POLL_INTERVAL_S = 1.0
 
+# When a whole fleet starts, no seed is registered. The nodes wait for a
+# random part of this time, so that the first ones register and the others
+# join through them.
+START_SPREAD_S = 2.0
+
+# Pause between a change and the next poll. In a series of changes, one poll
+# then returns several of them.
+WATCH_PAUSE_S = 0.8
+
+# Joins without an answer after which a node assumes that the registered
+# seeds are gone, and registers itself.
+MAX_UNANSWERED_JOINS = 3
+
+# While members join, a node that knows only a part of its domain may take
+# itself for a delegate. It becomes one only after this many polls in a row.
+POLLS_BEFORE_DELEGATE = 3
+
+# A delegate lists the seeds once in this many renewals, so that two parts of
+# a fleet that started apart find each other.
+RENEWALS_PER_LISTING = 3
+
+# Reads per second of the fleet as a whole while its nodes have no routes.
+# Each node reads with a probability that falls with the number of members.
+FLEET_READS_PER_S = 8.0
+READ_INTERVAL_S = 0.25
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
@@ -38,17 +61,14 @@
     ----------
     key : str
         Key that holds the route set.
-    node_id : str
-        Unique name of this node; part of the key of the registration.
-    address : str
-        Peer address to register.
+    local : LocalNode
+        Node to register as a seed.
     lease_s : int
         Time to live of the registration.
     """
 
     key: str
-    node_id: str
-    address: str
+    local: seeds.LocalNode
     lease_s: int
 
 
@@ -62,6 +82,13 @@
     def has_no_peers(self) -> bool:
         """True while no other member is known."""
 
+    @property
+    def size(self) -> int:
+        """Number of known members, including the local node."""
+
+    def knows(self, address: str) -> bool:
+        """Return True if a member has this peer address."""
+
 
 Decode = typing.Callable[[bytes], 'result.Result[routes.RouteSet, str]']
 
@@ -69,6 +96,10 @@
 class RouteWatcher:
     """Reads route sets from the store and registers this node as a seed.
 
+    Only a few delegates of each failure domain do both for as long as they
+    run. The other nodes learn members and routes from their peers, so the
+    number of calls does not grow with the fleet.
+
     Parameters
     ----------
     backend : Store
@@ -79,10 +110,12 @@
         Returns the route set that a value holds, or the reason why the
         value is invalid.
     is_candidate : callable
-        Returns whether this node is one of the nodes of its failure domain
-        that watch the store and register as seeds.
+        Returns whether this node is one of the delegates of its failure
+        domain, as far as its members are known.
     on_routes : callable
         Receives each valid route set.
+    has_routes : callable
+        Returns whether a route set is in force.
     members : Membership
         Joins through the seeds.
     generator : random.Random
@@ -98,6 +131,7 @@
         decode: Decode,
         is_candidate: typing.Callable[[], bool],
         on_routes: typing.Callable[[routes.RouteSet], None],
+        has_routes: typing.Callable[[], bool],
         members: Membership,
         generator: random.Random,
         log: events.EventLog,
@@ -107,86 +141,155 @@
         self._decode = decode
         self._is_candidate = is_candidate
         self._on_routes = on_routes
+        self._has_routes = has_routes
         self._members = members
         self._generator = generator
         self._log = log
         self._availability = availability.AvailabilityLog(log)
-        self._delay_s = RETRY_MIN_S
+        self._seeds = seeds.SeedRegistry(
+            backend, options.local, options.lease_s, self._availability
+        )
+        self._polls_as_candidate = 0
+        self._joins = 0
+        self._found_seeds = False
 
-    async def watch(self) -> None:
-        """Read the key and watch its changes while the node is a candidate."""
+    async def run(self) -> None:
+        """Join the fleet; act as a delegate whenever this node is one."""
+        if not await self._contact_seeds(allow_stale=True):
+            spread_s = START_SPREAD_S * self._generator.random()
+            await asyncio.sleep(spread_s)
         while True:
-            if not self._is_candidate():
-                await asyncio.sleep(POLL_INTERVAL_S)
-                continue
-            listing = await self._store.list(self._options.key)
-            self._availability.record(listing)
-            if not isinstance(listing, result.Success):
-                await self._back_off()
-                continue
-            self._delay_s = RETRY_MIN_S
-            found = listing.unwrap()
-            for item in found.items:
-                self._apply(item)
-            async for item in self._store.watch(
-                self._options.key, found.revision + 1
-            ):
-                self._apply(item)
-            await self._back_off()
-
-    async def maintain_seed_registration(self) -> None:
-        """Join through the seeds; register as a seed while a candidate."""
-        while True:
-            lease_id = 0
-            if self._is_candidate():
-                lease_id = await self._register()
-            await self._join()
-            if lease_id:
-                await self._keep_alive(lease_id)
-            await asyncio.sleep(
-                POLL_INTERVAL_S * (0.5 + self._generator.random())
-            )
+            if self._members.has_no_peers:
+                is_delegate = await self._join()
+            else:
+                is_delegate = self._is_settled_candidate()
+            if is_delegate:
+                await self._serve_as_delegate()
+            await asyncio.sleep(POLL_INTERVAL_S * self._jitter())
 
-    async def _register(self) -> int:
-        """Register as a seed; return the lease, or 0 on failure."""
-        granted = await self._store.grant_lease(self._options.lease_s)
-        lease_id = granted.value_or(0)
-        if not lease_id:
-            return 0
-        # Each lease gets a separate key, because the key of an earlier lease
-        # may still exist.
-        key = f'{SEEDS_PREFIX}{self._options.node_id}/{lease_id}'
-        written = await self._store.compare_and_set(
-            key, 0, self._options.address.encode(), lease_id
-        )
-        if isinstance(written, result.Success):
-            return lease_id
-        return 0
+    async def read_missing_routes(self) -> None:
+        """Read the routes once if no peer of a started fleet has them.
 
-    async def _join(self) -> None:
-        listing = await self._store.list(SEEDS_PREFIX)
-        if not isinstance(listing, result.Success):
-            return
-        addresses = {item.value.decode() for item in listing.unwrap().items}
-        addresses.discard(self._options.address)
-        chosen = self._generator.sample(
-            sorted(addresses), min(MAX_JOIN_SEEDS, len(addresses))
-        )
+        Load pattern: all nodes restart at the same time. The first reader
+        spreads the routes to the others. A node whose seeds do not answer
+        yet reads once; while there are no seeds either, the fleet starts
+        for the first time, and its delegates read.
+        """
+        may_read_alone = True
+        while not self._has_routes():
+            if self._members.has_no_peers:
+                reads = may_read_alone and self._found_seeds
+                may_read_alone = may_read_alone and not reads
+            else:
+                reads = self._generator.random() < self._read_probability()
+            if reads:
+                await self._read_routes()
+            await asyncio.sleep(READ_INTERVAL_S * self._jitter())
+
+    def _read_probability(self) -> float:
+        return FLEET_READS_PER_S * READ_INTERVAL_S / self._members.size
+
+    async def _join(self) -> bool:
+        """Contact the seeds; return True if there are none that answer."""
+        found = await self._contact_seeds(allow_stale=True)
+        if not found:
+            found = await self._contact_seeds(allow_stale=False)
+        if found is None:
+            return False
+        self._joins += 1
+        return not found or self._joins >= MAX_UNANSWERED_JOINS
+
+    async def _contact_seeds(self, allow_stale: bool) -> int | None:
+        """Join through seeds and return their number.
+
+        The result is None if the store is unavailable.
+        """
+        found = await self._seeds.list(allow_stale)
+        if found is None:
+            return None
+        unknown = [
+            seed for seed in found if not self._members.knows(seed.address)
+        ]
+        chosen = seeds.choose(unknown, self._options.local, self._generator)
+        self._found_seeds = self._found_seeds or bool(chosen)
         self._members.join(chosen)
+        return len(chosen)
 
-    async def _keep_alive(self, lease_id: int) -> None:
-        while True:
-            interval_s = self._options.lease_s / 3
-            if self._members.has_no_peers:
-                interval_s = POLL_INTERVAL_S
-            await asyncio.sleep(interval_s)
+    def _is_settled_candidate(self) -> bool:
+        self._joins = 0
+        if not self._is_candidate():
+            self._polls_as_candidate = 0
+            return False
+        self._polls_as_candidate += 1
+        return self._polls_as_candidate >= POLLS_BEFORE_DELEGATE
+
+    async def _serve_as_delegate(self) -> None:
+        watching = asyncio.create_task(
+            supervision.supervise(self._watch, self._log)
+        )
+        self._log.write(events.Event.RELAY_ACQUIRED)
+        try:
+            await self._hold_registration()
+        finally:
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+            self._log.write(events.Event.RELAY_LOST)
+
+    async def _hold_registration(self) -> None:
+        """Stay registered until other nodes are the delegates.
+
+        The registration is not revoked: it ends with its lease, and until
+        then the node answers as a seed.
+        """
+        lease_id = 0
+        renewals = 0
+        while self._members.has_no_peers or self._is_candidate():
+            if not lease_id:
+                lease_id = await self._seeds.register()
+            elif not await self._seeds.renew(lease_id):
+                lease_id = 0
+                continue
+            renewals += 1
             if self._members.has_no_peers:
                 await self._join()
-            renewed = await self._store.keep_alive(lease_id)
-            if isinstance(renewed, result.Success):
-                continue
-            if renewed.failure() is store.StoreError.LEASE_EXPIRED:
-                return
+            elif renewals % RENEWALS_PER_LISTING == 1:
+                await self._contact_seeds(allow_stale=True)
+            await asyncio.sleep(self._renewal_interval_s(lease_id))
+        self._polls_as_candidate = 0
+
+    def _renewal_interval_s(self, lease_id: int) -> float:
+        if not lease_id or self._members.has_no_peers:
+            return POLL_INTERVAL_S * self._jitter()
+        return self._options.lease_s / 3
+
+    async def _watch(self) -> None:
+        """Read the key and watch its changes."""
+        delay_s = RETRY_MIN_S
+        while True:
+            revision = await self._read_routes()
+            if revision:
+                delay_s = RETRY_MIN_S
+                async for item in self._store.watch(
+                    self._options.key, revision + 1
+                ):
+                    self._apply(item)
+                    await asyncio.sleep(WATCH_PAUSE_S * self._jitter())
+            await asyncio.sleep(delay_s * self._jitter())
+            delay_s = min(RETRY_MAX_S, delay_s * 2)
+
+    async def _read_routes(self) -> int:
+        """Apply the routes in the store; return the store's revision.
+
+        The result is 0 if the store is unavailable.
+        """
+        listing = await self._store.list(self._options.key)
+        self._availability.record(listing)
+        if not isinstance(listing, result.Success):
+            return 0
+        found = listing.unwrap()
+        for item in found.items:
+            self._apply(item)
+        return found.revision
 
     def _apply(self, item: store.KeyValue) -> None:
         if item.key != self._options.key:
@@ -205,6 +308,5 @@
             return
         self._on_routes(found)
 
-    async def _back_off(self) -> None:
-        await asyncio.sleep(self._delay_s * (0.5 + self._generator.random()))
-        self._delay_s = min(RETRY_MAX_S, self._delay_s * 2)
+    def _jitter(self) -> float:
+        return 0.5 + self._generator.random()
--- /dev/null
+++ b/jasminebeam/configuration/seeds.py
@@ -0,0 +1,148 @@
+"""Seeds in the store, through which nodes find the fleet."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+from returns import result
+
+from jasminebeam.store import store
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.model import upstreams
+    from jasminebeam.store import availability
+
+SEEDS_PREFIX = 'jasminebeam/seeds/'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seed:
+    """A node that new nodes contact to join.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of the node; empty if the key does not name it.
+    address : str
+        Peer address of the node.
+    """
+
+    failure_domain: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LocalNode:
+    """What the registration tells about the local node."""
+
+    node_id: str
+    failure_domain: str
+    address: str
+
+
+def local_node(member: upstreams.Member) -> LocalNode:
+    """Return what the registration tells about a member."""
+    return LocalNode(member.node_id, member.failure_domain, member.address)
+
+
+def choose(
+    seeds: typing.Iterable[Seed], local: LocalNode, generator: random.Random
+) -> list[str]:
+    """Return the addresses of the seeds through which a node joins.
+
+    One is in the node's own failure domain, because traffic between domains
+    is expensive. The other one keeps the node from joining only its domain
+    if the domain is cut off from the others.
+    """
+    by_domain: dict[bool, list[str]] = {True: [], False: []}
+    for seed in seeds:
+        if seed.address != local.address:
+            is_local = seed.failure_domain == local.failure_domain
+            by_domain[is_local].append(seed.address)
+    return [
+        generator.choice(addresses)
+        for addresses in by_domain.values()
+        if addresses
+    ]
+
+
+class SeedRegistry:
+    """Lists the seeds in the store and registers the local node as one.
+
+    Parameters
+    ----------
+    backend : Store
+        Store of the platform.
+    local : LocalNode
+        Node to register.
+    lease_s : int
+        Time to live of the registration.
+    availability_log : AvailabilityLog
+        Receives the outcome of each call.
+    """
+
+    def __init__(
+        self,
+        backend: store.Store,
+        local: LocalNode,
+        lease_s: int,
+        availability_log: availability.AvailabilityLog,
+    ) -> None:
+        self._store = backend
+        self._local = local
+        self._lease_s = lease_s
+        self._availability = availability_log
+
+    async def list(self, allow_stale: bool) -> list[Seed] | None:
+        """Return the seeds; None if the store is unavailable.
+
+        Parameters
+        ----------
+        allow_stale : bool
+            True for a cheap read. A stale list without seeds does not prove
+            that there are none.
+        """
+        listing = await self._store.list(SEEDS_PREFIX, allow_stale)
+        self._availability.record(listing)
+        if not isinstance(listing, result.Success):
+            return None
+        found = map(_seed, listing.unwrap().items)
+        return [seed for seed in found if seed is not None]
+
+    async def register(self) -> int:
+        """Register as a seed; return the lease, or 0 on failure."""
+        granted = await self._store.grant_lease(self._lease_s)
+        self._availability.record(granted)
+        lease_id = granted.value_or(0)
+        if not lease_id:
+            return 0
+        # Each lease gets a separate key, because the key of an earlier lease
+        # may still exist.
+        local = self._local
+        key = (
+            f'{SEEDS_PREFIX}{local.failure_domain}/{local.node_id}/{lease_id}'
+        )
+        written = await self._store.compare_and_set(
+            key, 0, local.address.encode(), lease_id
+        )
+        return lease_id if isinstance(written, result.Success) else 0
+
+    async def renew(self, lease_id: int) -> bool:
+        """Renew the registration; return False if it has expired."""
+        renewed = await self._store.keep_alive(lease_id)
+        self._availability.record(renewed)
+        if isinstance(renewed, result.Success):
+            return True
+        return renewed.failure() is not store.StoreError.LEASE_EXPIRED
+
+
+def _seed(item: store.KeyValue) -> Seed | None:
+    """Return the seed of a key; None if the value is no address."""
+    address = item.value.decode('ascii', 'replace')
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    names = item.key.removeprefix(SEEDS_PREFIX).split('/')
+    return Seed(names[0] if len(names) == 3 else '', address)
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -102,6 +102,15 @@
         """True while no other member is known."""
         return len(self._state.members) == 1
 
+    @property
+    def size(self) -> int:
+        """Number of known members, including the local node."""
+        return len(self._state.members)
+
+    def knows(self, address: str) -> bool:
+        """Return True if a member has this peer address."""
+        return any(member.address == address for member in self._state.members)
+
     def join(self, seeds: typing.Sequence[str]) -> None:
         """Add these peers to the seeds and request their tables."""
         self.add_seeds(seeds)
--- a/jasminebeam/platform/adapter.py
+++ b/jasminebeam/platform/adapter.py
@@ -6,6 +6,7 @@
 
 from jasminebeam import adapters
 from jasminebeam.configuration import route_watcher
+from jasminebeam.configuration import seeds
 from jasminebeam.model import upstreams as upstreams_model
 from jasminebeam.platform import callers
 from jasminebeam.platform import configuration
@@ -103,23 +104,19 @@
         self, node: node_module.Node, backend: store_module.Store
     ) -> list[supervision.Start]:
         """Return the tasks that watch the routes and register as a seed."""
-        local_member = node.membership.local_member
+        local = seeds.local_node(node.membership.local_member)
         watcher = route_watcher.RouteWatcher(
             backend,
-            route_watcher.Options(
-                wire.CONFIGURATION_KEY,
-                local_member.node_id,
-                local_member.address,
-                SEED_LEASE_S,
-            ),
+            route_watcher.Options(wire.CONFIGURATION_KEY, local, SEED_LEASE_S),
             configuration.Decoder(BUDGETS).decode,
             node.is_relay_candidate,
             node.membership.adopt_routes,
+            lambda: node.route_sets.revision > 0,
             node.membership,
             node.generator,
             node.log,
         )
-        return [watcher.watch, watcher.maintain_seed_registration]
+        return [watcher.run, watcher.read_missing_routes]
 
     def replace(self, loaded: settings.PlatformSettings) -> None:
         """Apply those changed settings that need no restart."""
--- a/jasminebeam/platform/store.py
+++ b/jasminebeam/platform/store.py
@@ -108,7 +108,7 @@
         return result.Success(next(self._key_values([item]), None))
 
     async def list(
-        self, prefix: str
+        self, prefix: str, allow_stale: bool = False
     ) -> result.Result[store.Listing, store.StoreError]:
         """Return the keys under a prefix, read page by page."""
         found: list[store.KeyValue] = []
@@ -116,6 +116,8 @@
         after = ''
         while True:
             query = {'prefix': prefix}
+            if allow_stale:
+                query['allowStale'] = '1'
             if after:
                 query['after'] = after
             answer = await self._call('GET', 'kv-range', query)
@@ -200,7 +202,7 @@
     async def watch(
         self, prefix: str, from_revision: int
     ) -> typing.AsyncIterator[store.KeyValue]:
-        """Yield each write under a prefix, from a revision on.
+        """Yield the newest writes under a prefix, from a revision on.
 
         Ends when the connection is lost or the history is compacted.
         """
@@ -222,7 +224,8 @@
             found = self._decode(answer[1], _Events).value_or(None)
             if found is None:
                 return
-            for item in self._key_values(found.events):
+            newest = {event.key: event for event in found.events}
+            for item in self._key_values(newest.values()):
                 yield item
             after = found.current_rev
 
--- a/jasminebeam/store/etcd.py
+++ b/jasminebeam/store/etcd.py
@@ -60,10 +60,14 @@
         return await self._call('kv/range', {'key': _encode(key)}, _first_item)
 
     async def list(
-        self, prefix: str
+        self, prefix: str, allow_stale: bool = False
     ) -> result.Result[store.Listing, store.StoreError]:
         """Return the keys that start with a prefix."""
-        body = {'key': _encode(prefix), 'range_end': _range_end(prefix)}
+        body = {
+            'key': _encode(prefix),
+            'range_end': _range_end(prefix),
+            'serializable': allow_stale,
+        }
         return await self._call('kv/range', body, _listing)
 
     async def compare_and_set(
--- a/jasminebeam/store/null.py
+++ b/jasminebeam/store/null.py
@@ -21,7 +21,9 @@
         """Fail, because there is no store."""
         return _UNAVAILABLE
 
-    async def list(self, prefix: str) -> result.Result:
+    async def list(
+        self, prefix: str, allow_stale: bool = False
+    ) -> result.Result:
         """Fail, because there is no store."""
         return _UNAVAILABLE
 
--- a/jasminebeam/store/store.py
+++ b/jasminebeam/store/store.py
@@ -49,8 +49,18 @@
     ) -> result.Result[KeyValue | None, StoreError]:
         """Return a key and its value, or None if it does not exist."""
 
-    async def list(self, prefix: str) -> result.Result[Listing, StoreError]:
-        """Return the keys that start with a prefix."""
+    async def list(
+        self, prefix: str, allow_stale: bool = False
+    ) -> result.Result[Listing, StoreError]:
+        """Return the keys that start with a prefix.
+
+        Parameters
+        ----------
+        prefix : str
+            Beginning of the keys.
+        allow_stale : bool
+            True for a cheaper read whose result may be seconds old.
+        """
 
     async def compare_and_set(
         self,
@@ -94,7 +104,8 @@
     def watch(
         self, prefix: str, from_revision: int
     ) -> typing.AsyncIterator[KeyValue]:
-        """Yield each write to keys with a prefix, starting at a revision.
+        """Yield writes to keys with a prefix, starting at a revision.
 
-        The iterator ends when the connection is lost.
+        A write may be left out if the key has been written again. The
+        iterator ends when the connection is lost.
         """
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -40,7 +40,7 @@
             return UNAVAILABLE
         return result.Success(self.items.get(key))
 
-    async def list(self, prefix):
+    async def list(self, prefix, allow_stale=False):
         """Return the keys that start with a prefix."""
         if self.down:
             return UNAVAILABLE
--- /dev/null
+++ b/tests/test_configuration/test_route_watcher.py
@@ -0,0 +1,463 @@
+"""Tests of delegates, seeds and store calls of whole fleets."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+
+import pytest
+from returns import result
+
+from bench import virtual_time
+from jasminebeam.configuration import route_watcher
+from jasminebeam.configuration import seeds
+from jasminebeam.model import routes
+from jasminebeam.routing import subset
+from jasminebeam.store import store
+from jasminebeam.telemetry import events
+from jasminebeam.telemetry import metrics
+
+DOMAINS = 5
+LEASE_S = 10
+STORE_DELAY_S = 0.02
+JOIN_DELAY_S = 0.05
+# Cost of a stale read and of a renewal, relative to other calls.
+CHEAP_RATIO = 0.1
+ROUTES_KEY = 'op/config'
+DELEGATES_PER_DOMAIN = 2
+
+UNAVAILABLE = result.Failure(store.StoreError.UNAVAILABLE)
+
+
+class CountingStore:
+    """Store with leases in virtual time that counts calls by kind."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.calls = collections.Counter()
+        self.calls_by_second = collections.Counter()
+        self.items = {}
+        self.leases = {}
+        self.revision = 1
+        self.down = False
+        self.stale_s = 0.0
+        self.changed = asyncio.Condition()
+
+    @property
+    def cost(self):
+        """Price of all calls, relative to a full call."""
+        cheap = self.calls['list stale'] + self.calls['keep']
+        return self.calls.total() - cheap * (1 - CHEAP_RATIO)
+
+    async def _call(self, kind):
+        self.calls[kind] += 1
+        # Stale reads do not count toward the store's rates.
+        if kind != 'list stale':
+            self.calls_by_second[int(self.loop.time())] += 1
+        await asyncio.sleep(STORE_DELAY_S)
+        self._expire()
+        return not self.down
+
+    def _expire(self):
+        now_s = self.loop.time()
+        for lease, expires_s in list(self.leases.items()):
+            if expires_s < now_s:
+                del self.leases[lease]
+        self.items = {
+            key: entry
+            for key, entry in self.items.items()
+            if not entry[1] or entry[1] in self.leases
+        }
+
+    async def list(self, prefix, allow_stale=False):
+        """Return the keys under a prefix."""
+        if not await self._call('list stale' if allow_stale else 'list'):
+            return UNAVAILABLE
+        latest_s = self.loop.time() - (self.stale_s if allow_stale else 0.0)
+        found = tuple(
+            store.KeyValue(key, value, revision)
+            for key, (value, _, revision, written_s) in self.items.items()
+            if key.startswith(prefix) and written_s <= latest_s
+        )
+        return result.Success(store.Listing(self.revision, found))
+
+    async def write(self, key, value, lease=0):
+        """Write a key."""
+        self.revision += 1
+        self.items[key] = (value, lease, self.revision, self.loop.time())
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def compare_and_set(self, key, revision, value, lease_id=0):
+        """Write a key that does not exist."""
+        if not await self._call('txn'):
+            return UNAVAILABLE
+        await self.write(key, value, lease_id)
+        return result.Success(self.revision)
+
+    async def grant_lease(self, ttl_s):
+        """Grant a lease."""
+        if not await self._call('grant'):
+            return UNAVAILABLE
+        lease = len(self.calls) * 100_000 + self.calls['grant']
+        self.leases[lease] = self.loop.time() + ttl_s
+        return result.Success(lease)
+
+    async def keep_alive(self, lease_id):
+        """Renew a lease."""
+        if not await self._call('keep'):
+            return UNAVAILABLE
+        if lease_id not in self.leases:
+            return result.Failure(store.StoreError.LEASE_EXPIRED)
+        self.leases[lease_id] = self.loop.time() + LEASE_S
+        return result.Success(LEASE_S)
+
+    async def watch(self, prefix, from_revision):
+        """Yield changes; one call for each poll of 25 s or change."""
+        seen = from_revision - 1
+        while await self._call('watch'):
+            async with self.changed:
+                try:
+                    async with asyncio.timeout(25.0):
+                        while self._newest(prefix) <= seen:
+                            await self.changed.wait()
+                except TimeoutError:
+                    continue
+            for key, (value, _, revision, _) in list(self.items.items()):
+                if key.startswith(prefix) and revision > seen:
+                    yield store.KeyValue(key, value, revision)
+            seen = self._newest(prefix)
+
+    def _newest(self, prefix):
+        return max(
+            (
+                entry[2]
+                for key, entry in self.items.items()
+                if key.startswith(prefix)
+            ),
+            default=0,
+        )
+
+
+class Group:
+    """Nodes that know each other, and their newest routes."""
+
+    def __init__(self, node):
+        self.members = {node}
+        self.addresses = {node.address}
+        self.revision = 0
+        self._delegates = {}
+
+    def delegates(self, domain):
+        """Return the delegates of a domain among the members."""
+        if domain not in self._delegates:
+            names = [
+                member.node_id
+                for member in self.members
+                if member.domain == domain
+            ]
+            self._delegates[domain] = subset.choose(
+                domain, names, DELEGATES_PER_DOMAIN
+            )
+        return self._delegates[domain]
+
+    def discard(self, node):
+        """Remove a node."""
+        self.members.discard(node)
+        self.addresses.discard(node.address)
+        self._delegates.clear()
+
+    def merge(self, other):
+        """Take over the members and the routes of another group."""
+        for member in other.members:
+            member.group = self
+        self.members |= other.members
+        self._delegates.clear()
+        self.addresses |= other.addresses
+        self.revision = max(self.revision, other.revision)
+
+
+class FleetNode:
+    """A node's view of the fleet; a join merges two groups."""
+
+    def __init__(self, fleet, index):
+        self.fleet = fleet
+        self.node_id = f'n{index}'
+        self.domain = f'd{index % DOMAINS}'
+        self.address = f'10.0.0.1:{10_000 + index}'
+        self.group = Group(self)
+        self.task = None
+        self.up = True
+
+    @property
+    def revision(self):
+        """Revision of the routes in force."""
+        return self.group.revision
+
+    @property
+    def has_no_peers(self):
+        """True while no other member is known."""
+        return self.size == 1
+
+    @property
+    def size(self):
+        """Number of known members."""
+        return len(self.group.members)
+
+    def knows(self, address):
+        """Return True if a known member has the address."""
+        return address in self.group.addresses
+
+    def join(self, addresses):
+        """Merge with the groups of the seeds after a delay."""
+        for address in addresses:
+            self.fleet.loop.call_later(JOIN_DELAY_S, self._merge, address)
+
+    def _merge(self, address):
+        seed = self.fleet.by_address.get(address)
+        if seed is None or not seed.up or not self.up:
+            return
+        small, large = sorted(
+            (self.group, seed.group), key=lambda group: len(group.members)
+        )
+        if small is not large:
+            large.merge(small)
+
+    def is_candidate(self):
+        """Return True if the node is a delegate among the known members."""
+        return self.node_id in self.group.delegates(self.domain)
+
+    def on_routes(self, route_set):
+        """Adopt routes; all known members receive them."""
+        self.group.revision = max(self.group.revision, route_set.revision)
+
+
+class Fleet:
+    """Nodes that start at once, on one store in virtual time."""
+
+    def __init__(self, size, seed=1, stale_s=0.0):
+        self.loop = virtual_time.VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.store = CountingStore(self.loop)
+        self.store.stale_s = stale_s
+        self.generator = random.Random(seed)
+        self.nodes = []
+        self.by_address = {}
+        self.log = events.EventLog('fleet', metrics.Metrics())
+        for _ in range(size):
+            self.add_node()
+
+    def add_node(self):
+        """Start one more node."""
+        node = FleetNode(self, len(self.nodes))
+        self.nodes.append(node)
+        self.by_address[node.address] = node
+        self.start(node)
+        return node
+
+    def start(self, node):
+        """Start the tasks of a node."""
+        node.up = True
+        node.group = Group(node)
+        watcher = route_watcher.RouteWatcher(
+            self.store,
+            route_watcher.Options(
+                ROUTES_KEY,
+                seeds.LocalNode(node.node_id, node.domain, node.address),
+                LEASE_S,
+            ),
+            lambda value: result.Success(routes.RouteSet(int(value), (), ())),
+            node.is_candidate,
+            node.on_routes,
+            lambda: node.revision > 0,
+            node,
+            random.Random(self.generator.random()),
+            self.log,
+        )
+        node.task = self.loop.create_task(self._run(watcher))
+
+    async def _run(self, watcher):
+        # All hosts start within 0.3 s.
+        await asyncio.sleep(0.3 * self.generator.random())
+        await asyncio.gather(watcher.run(), watcher.read_missing_routes())
+
+    def kill(self, nodes):
+        """End the processes of nodes."""
+        for node in nodes:
+            node.task.cancel()
+            node.up = False
+            node.group.discard(node)
+            node.group = Group(node)
+
+    def write_routes(self, revision):
+        """Write a route set as operators do."""
+        value = str(revision).encode()
+        self.run(self.store.write(ROUTES_KEY, value))
+
+    def run(self, coroutine):
+        """Run a coroutine in virtual time."""
+        return self.loop.run_until_complete(coroutine)
+
+    def advance(self, seconds):
+        """Advance virtual time."""
+        self.run(asyncio.sleep(seconds))
+
+    def close(self):
+        """Stop all nodes."""
+        for node in self.nodes:
+            node.task.cancel()
+        self.run(
+            asyncio.gather(
+                *(node.task for node in self.nodes), return_exceptions=True
+            )
+        )
+        self.loop.close()
+        asyncio.set_event_loop(None)
+
+
+@pytest.fixture
+def create_fleet():
+    """Provide a function that creates fleets."""
+    created = []
+
+    def create(*args, **kwargs):
+        created.append(Fleet(*args, **kwargs))
+        return created[-1]
+
+    yield create
+    for fleet in created:
+        fleet.close()
+
+
+def _delegates_expected():
+    return DOMAINS * DELEGATES_PER_DOMAIN
+
+
+@pytest.mark.parametrize('stale_s', [0.0, 0.5])
+@pytest.mark.parametrize('size', [14, 200, 2_000])
+def test_store_calls_of_a_day_are_bounded(create_fleet, size, stale_s):
+    """A fleet costs at most 2 calls a node, and none that recur by node."""
+    fleet = create_fleet(size, stale_s=stale_s)
+    fleet.advance(4.0)
+    fleet.write_routes(1)
+    fleet.advance(6.0)
+    for revision in (2, 3):
+        fleet.write_routes(revision)
+        fleet.advance(15.0)
+    assert all(node.revision == 3 for node in fleet.nodes)
+    assert fleet.nodes[0].size == size
+    # Delegates poll, renew, list and watch; their number is fixed.
+    allowance = 10 * _delegates_expected()
+    assert fleet.store.cost <= 2 * size + allowance
+    before = fleet.store.cost
+    fleet.advance(60.0)
+    # In a minute each delegate renews 18 times, lists 6 times and polls.
+    assert fleet.store.cost - before <= 8 * _delegates_expected()
+
+
+def test_calls_at_the_start_stay_below_the_rates(create_fleet):
+    """The store allows 3,200 writes and 16,000 reads a second."""
+    fleet = create_fleet(2_000)
+    fleet.advance(10.0)
+    assert max(fleet.store.calls_by_second.values()) <= 3_200
+
+
+@pytest.mark.parametrize('size', [1, 2, 14, 200])
+def test_whole_fleet_restart_has_routes_at_once(create_fleet, size):
+    """After the loss of all nodes, all have routes again within 3 s."""
+    fleet = create_fleet(size)
+    fleet.write_routes(7)
+    fleet.advance(20.0)
+    assert all(node.revision == 7 for node in fleet.nodes)
+    before = fleet.store.calls['list']
+    fleet.kill(fleet.nodes)
+    fleet.advance(1.0)
+    for node in fleet.nodes:
+        fleet.start(node)
+    fleet.advance(3.0)
+    assert all(node.revision == 7 for node in fleet.nodes)
+    assert fleet.store.calls['list'] - before <= 30 + size // 4
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_parts_that_started_apart_find_each_other(create_fleet, seed):
+    """All nodes know all others although early reads were stale."""
+    fleet = create_fleet(40, seed=seed, stale_s=3.0)
+    fleet.advance(30.0)
+    assert {node.size for node in fleet.nodes} == {40}
+
+
+def test_delegates_are_replaced(create_fleet):
+    """A change is in force although all delegates have gone."""
+    fleet = create_fleet(60)
+    fleet.write_routes(1)
+    fleet.advance(20.0)
+    delegates = [node for node in fleet.nodes if node.is_candidate()]
+    assert len(delegates) == _delegates_expected()
+    fleet.kill(delegates)
+    fleet.advance(10.0)
+    fleet.write_routes(2)
+    fleet.advance(2.0)
+    alive = [node for node in fleet.nodes if node.up]
+    assert all(node.revision == 2 for node in alive)
+    new = fleet.add_node()
+    fleet.advance(3.0)
+    assert new.revision == 2
+
+
+def test_outage_costs_no_storm_and_ends_within_two_seconds(create_fleet):
+    """Seeds that lapsed during an outage are registered again in time."""
+    fleet = create_fleet(200)
+    fleet.write_routes(1)
+    fleet.advance(20.0)
+    fleet.store.down = True
+    before = fleet.store.calls.total()
+    fleet.advance(15.0)
+    # Each delegate retries its watch and its registration.
+    assert fleet.store.calls.total() - before <= 80 * _delegates_expected()
+    fleet.store._expire()
+    fleet.store.down = False
+    fleet.write_routes(2)
+    fleet.advance(2.0)
+    assert all(node.revision == 2 for node in fleet.nodes)
+    assert len(fleet.run(fleet.store.list(seeds.SEEDS_PREFIX)).unwrap().items)
+
+
+def test_node_that_starts_during_an_outage_joins_after_it(create_fleet):
+    """A new node without the store serves as soon as the store is back."""
+    fleet = create_fleet(14)
+    fleet.write_routes(1)
+    fleet.advance(20.0)
+    fleet.store.down = True
+    new = fleet.add_node()
+    fleet.advance(5.0)
+    fleet.store.down = False
+    fleet.advance(3.0)
+    assert new.revision == 1
+
+
+def test_malformed_seeds_are_ignored(create_fleet):
+    """Values that are no addresses must not stop a node from joining."""
+    fleet = create_fleet(3)
+    for index, value in enumerate((b'\xff\xfe', b'', b'host:', b'nowhere')):
+        fleet.run(fleet.store.write(f'{seeds.SEEDS_PREFIX}x{index}', value))
+    fleet.write_routes(1)
+    fleet.advance(10.0)
+    assert {node.size for node in fleet.nodes} == {3}
+    assert {node.revision for node in fleet.nodes} == {1}
+
+
+def test_seeds_of_the_own_domain_come_first():
+    """A node joins through one seed of its domain and one of another."""
+    local = seeds.LocalNode('n', 'a', 'h:1')
+    found = [
+        seeds.Seed('a', 'h:1'),
+        seeds.Seed('a', 'h:2'),
+        seeds.Seed('b', 'h:3'),
+        seeds.Seed('c', 'h:4'),
+    ]
+    chosen = seeds.choose(found, local, random.Random(1))
+    assert chosen[0] == 'h:2'
+    assert chosen[1] in ('h:3', 'h:4')
+    assert seeds.choose(found[:1], local, random.Random(1)) == []
