Require the echoed request id in each answer of the platform's upstreams

Cause: a second copy of an answer that arrives while its connection is in use again was told apart by the echoed id, but an answer without one passed if its status was no success: a copy of a shed answer then made the next request count as not run although it ran. A health check took any answer for its own.

Change: each answer must name the request, whatever its status; a health check's answer must name none. Otherwise the request may have run and the connection is closed.

Ruled out: unsolicited bytes before the next use, which close the connection already.

--- a/jasminebeam/platform/upstreams.py
+++ b/jasminebeam/platform/upstreams.py
@@ -41,8 +41,8 @@
         announcement: upstreams.Announcement,
     ) -> verdict.Verdict:
         """Return the verdict that follows from a complete answer."""
-        echoed_id = headers.get(wire.REQUEST_ID)
-        if echoed_id is not None and echoed_id != call.request_id:
+        # A late second answer to an earlier request may have any status.
+        if headers.get(wire.REQUEST_ID) != call.request_id:
             return verdict.may_have_run(verdict.Reason.WRONG_ANSWER)
         if answer.status == _MISDIRECTED:
             return verdict.not_run(verdict.Reason.WRONG_UPSTREAM)
@@ -50,7 +50,7 @@
             return verdict.not_run(verdict.Reason.SHED)
         if answer.status in _NOT_RUN_STATUSES:
             return verdict.may_have_run(verdict.Reason.WRONG_ANSWER)
-        if answer.status < 300 and not _is_signed(headers, echoed_id):
+        if answer.status < 300 and not _is_signed(headers):
             return verdict.may_have_run(verdict.Reason.WRONG_ANSWER)
         return verdict.answered(answer)
 
@@ -64,8 +64,10 @@
 
     def read_health(
         self, status: int, headers: HeaderMap, body: bytes
-    ) -> upstreams.Health:
-        """Return the result of a health check."""
+    ) -> upstreams.Health | None:
+        """Return the result of a health check; None for another answer."""
+        if wire.REQUEST_ID in headers:
+            return None
         return upstreams.Health(
             healthy=status == 200,
             upstream_id=headers.get(wire.ANSWERING_ID, ''),
@@ -73,10 +75,10 @@
         )
 
 
-def _is_signed(headers: HeaderMap, echoed_id: str | None) -> bool:
-    if echoed_id is None or 'Content-Encoding' in headers:
-        return False
-    return bool(headers.get(wire.SIGNATURE))
+def _is_signed(headers: HeaderMap) -> bool:
+    return bool(headers.get(wire.SIGNATURE)) and (
+        'Content-Encoding' not in headers
+    )
 
 
 def parse_load(text: str) -> upstreams.LoadReport | None:
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -174,7 +174,10 @@
         health = self._dialect.read_health(
             response.status, response.headers, body
         )
-        if health.report is not None:
+        if health is None:
+            # The health check's own answer may still arrive.
+            _current_protocol.get().close()
+        elif health.report is not None:
             self._on_report(health.report)
         return health
 
--- a/jasminebeam/upstreams/dialect.py
+++ b/jasminebeam/upstreams/dialect.py
@@ -39,8 +39,11 @@
 
     def read_health(
         self, status: int, headers: HeaderMap, body: bytes
-    ) -> upstreams.Health:
-        """Return the result of a health check."""
+    ) -> upstreams.Health | None:
+        """Return the result of a health check.
+
+        The result is None if the answer belongs to another request.
+        """
 
 
 class NativeDialect:
