--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -260,3 +260,24 @@
     async with asyncio.timeout(2.0):
         assert await reader.read() == b''
     writer.close()
+
+
+async def test_restarted_node_does_not_use_a_leaving_upstream(cluster):
+    """An upstream that left before the restart gets no work after it.
+
+    It still runs and answers health checks, but says that it is ill.
+    """
+    await cluster.add_host()
+    upstream = cluster.upstreams[0]
+    assert (await cluster.send_request())[0] == 200
+    await upstream.send_heartbeat(
+        cluster.settings[0].adapter.announcements, state='draining'
+    )
+    upstream.healthy = False
+    await cluster.nodes.pop().stop()
+    cluster.nodes.append(await cluster.start_node(cluster.settings[0]))
+    await asyncio.sleep(0.5)
+    runs = sum(upstream.runs.values())
+    status, _, _ = await cluster.send_request(request_id='after')
+    assert status == 503
+    assert sum(upstream.runs.values()) == runs
