--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -210,7 +210,12 @@
         unknown = [
             seed for seed in found if not self._members.knows(seed.address)
         ]
-        chosen = seeds.choose(unknown, self._options.local, self._generator)
+        # A seed that has not answered, or an unknown one after this node has
+        # joined, may be in a domain that is cut off.
+        prefers_local = not self._joins and self._members.has_no_peers
+        chosen = seeds.choose(
+            unknown, self._options.local, self._generator, prefers_local
+        )
         self._found_seeds = self._found_seeds or bool(chosen)
         self._members.join(chosen)
         return len(chosen)
--- a/jasminebeam/configuration/seeds.py
+++ b/jasminebeam/configuration/seeds.py
@@ -48,24 +48,32 @@
 
 
 def choose(
-    seeds: typing.Iterable[Seed], local: LocalNode, generator: random.Random
+    seeds: typing.Iterable[Seed],
+    local: LocalNode,
+    generator: random.Random,
+    prefers_local: bool,
 ) -> list[str]:
-    """Return the addresses of the seeds through which a node joins.
+    """Return the address of the seed through which a node joins, if any.
 
-    One is in the node's own failure domain, because traffic between domains
-    is expensive. The other one keeps the node from joining only its domain
-    if the domain is cut off from the others.
+    A seed sends its whole table, and traffic between domains is expensive.
+
+    Parameters
+    ----------
+    seeds : iterable of Seed
+        Seeds in the store.
+    local : LocalNode
+        Node that joins.
+    generator : random.Random
+        Source of the choice.
+    prefers_local : bool
+        True for a seed of the node's own failure domain if there is one.
     """
-    by_domain: dict[bool, list[str]] = {True: [], False: []}
-    for seed in seeds:
-        if seed.address != local.address:
-            is_local = seed.failure_domain == local.failure_domain
-            by_domain[is_local].append(seed.address)
-    return [
-        generator.choice(addresses)
-        for addresses in by_domain.values()
-        if addresses
+    others = [seed for seed in seeds if seed.address != local.address]
+    same_domain = [
+        seed for seed in others if seed.failure_domain == local.failure_domain
     ]
+    candidates = same_domain if prefers_local and same_domain else others
+    return [generator.choice(candidates).address] if candidates else []
 
 
 class SeedRegistry:
