--- a/jasminebeam/store/etcd.py
+++ b/jasminebeam/store/etcd.py
@@ -134,7 +134,8 @@
                 timeout=timeout,
             ) as response:
                 # The stream has no end; aiohttp limits each line.
-                response.connection.protocol.limit_bytes = math.inf
+                if response.connection is not None:
+                    response.connection.protocol.limit_bytes = math.inf
                 async for line in response.content:
                     for item in _watch_items(line):
                         yield item
