Log and export the rate limit that an upstream names

Nodes now read the limit and the leaving mark in answers, refusals and health checks whose request id matches, and log each change: events 206 to 209, gauge jasminebeam_upstream_limit_per_s. Nothing is decided by them yet. The load report of an answer that belongs to another request is no longer used either. The start of an upstream is now part of its announcement, because a limit applies to one start.

--- a/jasminebeam/model/upstreams.py
+++ b/jasminebeam/model/upstreams.py
@@ -54,6 +54,8 @@
         Address of the upstream's HTTP server.
     upstream_id : str
         Identity that is sent with each request; empty if there is none.
+    started_ms : int
+        Wall-clock ms of the upstream's start; 0 if unknown.
     """
 
     service: str
@@ -66,6 +68,7 @@
     load_path: str = ''
     host: str = '127.0.0.1'
     upstream_id: str = ''
+    started_ms: int = 0
 
 
 NORMAL_SLOWNESS = 1.0
@@ -91,6 +94,37 @@
     slowness: float | None = None
 
 
+class NoticeSource(enum.Enum):
+    """Kind of the answer that carries a notice."""
+
+    ANSWER = 'answer'
+    REFUSAL = 'refusal'
+    HEALTH = 'health'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """What an upstream states about itself in one answer.
+
+    Parameters
+    ----------
+    limit_per_s : float or None
+        Rate of requests that the upstream accepts from all nodes together;
+        None if the answer names no valid rate.
+    leaving : bool
+        True if the upstream is about to stop.
+    malformed_limit : str
+        Text in place of a rate that is not one; empty if there is none.
+    """
+
+    limit_per_s: float | None = None
+    leaving: bool = False
+    malformed_limit: str = ''
+
+
+NO_NOTICE = Notice()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Health:
     """Result of one health check.
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -211,7 +211,7 @@
     def attach_upstream(self, announcement: upstreams.Announcement) -> None:
         """Put the local upstream into service."""
         upstream_client = self._create_client(
-            announcement, self.sidecar.on_report
+            announcement, self.sidecar.on_report, self.sidecar.on_notice
         )
         replaced = self.sidecar.attach(announcement, upstream_client)
         if replaced is not None:
@@ -237,7 +237,9 @@
 
     def on_heartbeat(self, heartbeat: lifecycle.Heartbeat) -> None:
         """Process a heartbeat of the local upstream."""
-        self._apply_action(self.upstream_lifecycle.on_heartbeat(heartbeat))
+        upstream_lifecycle = self.upstream_lifecycle
+        self._apply_action(upstream_lifecycle.on_heartbeat(heartbeat))
+        self.sidecar.update_start(upstream_lifecycle.current.announcement)
 
     def on_upstream_leave(self, upstream_id: str, started_ms: int) -> None:
         """Process a leave notice of the local upstream."""
@@ -278,7 +280,9 @@
         if configured is None:
             return
         reports: list[upstreams.LoadReport] = []
-        health_client = self._create_client(configured, reports.append)
+        health_client = self._create_client(
+            configured, reports.append, client.ignore_notice
+        )
         try:
             health = await health_client.check_health()
         finally:
@@ -298,12 +302,14 @@
         self,
         announcement: upstreams.Announcement,
         on_report: typing.Callable[[upstreams.LoadReport], None],
+        on_notice: client.OnNotice,
     ) -> client.HttpUpstreamClient:
         return client.HttpUpstreamClient(
             announcement,
             self._settings.upstream.max_answer_bytes,
             self._adapter.upstream_dialect,
             on_report,
+            on_notice,
         )
 
     def _record_reachability(self, reachable: bool) -> None:
--- a/jasminebeam/platform/servers.py
+++ b/jasminebeam/platform/servers.py
@@ -99,10 +99,10 @@
             load_path=directory.health_path(body.info.service),
             host=address.host,
             upstream_id=upstream_id,
+            started_ms=body.born,
         )
         return lifecycle.Heartbeat(
             announcement,
-            body.born,
             body.status.sequence,
             draining=body.status.state != 'ready',
         )
--- a/jasminebeam/platform/settings.py
+++ b/jasminebeam/platform/settings.py
@@ -83,11 +83,7 @@
 
 def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
     """Return the settings in a file, or an error message."""
-    try:
-        text = path.read_text()
-    except OSError as error:
-        return result.Failure(f'{path}: {error.strerror}')
-    return parse(text)
+    return settings.read(path).bind(parse)
 
 
 def parse(text: str) -> result.Result[PlatformSettings, str]:
--- a/jasminebeam/platform/upstreams.py
+++ b/jasminebeam/platform/upstreams.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import typing
-
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
 from jasminebeam.platform import wire
+from jasminebeam.upstreams import dialect
+from jasminebeam.upstreams import notices
 from jasminebeam import verdict
 
-HeaderMap = typing.Mapping[str, str]
-
 _MISDIRECTED = 421
 # Statuses by which an upstream states that the request did not run. Except
 # for 421, such an answer must carry the header `Not-Executed`. Without the
@@ -21,6 +19,8 @@
 class PlatformUpstreamDialect:
     """Encodes calls as HTTP requests and decodes upstreams' answers."""
 
+    notice_headers = notices.HeaderNames(wire.LIMIT, wire.LEAVING)
+
     def request_headers(
         self,
         call: requests.Call,
@@ -37,7 +37,7 @@
         self,
         call: requests.Call,
         answer: requests.Answer,
-        headers: HeaderMap,
+        headers: dialect.HeaderMap,
         announcement: upstreams.Announcement,
     ) -> verdict.Verdict:
         """Return the verdict that follows from a complete answer."""
@@ -50,11 +50,16 @@
             return verdict.not_run(verdict.Reason.SHED)
         if answer.status in _NOT_RUN_STATUSES:
             return verdict.may_have_run(verdict.Reason.WRONG_ANSWER)
-        if answer.status < 300 and not _is_signed(headers):
+        signed = headers.get(wire.SIGNATURE)
+        if answer.status < 300 and (
+            not signed or 'Content-Encoding' in headers
+        ):
             return verdict.may_have_run(verdict.Reason.WRONG_ANSWER)
         return verdict.answered(answer)
 
-    def read_report(self, headers: HeaderMap) -> upstreams.LoadReport | None:
+    def read_report(
+        self, headers: dialect.HeaderMap
+    ) -> upstreams.LoadReport | None:
         """Return the load report in the headers of an answer."""
         return parse_load(headers.get(wire.LOAD, ''))
 
@@ -63,7 +68,7 @@
         return announcement.load_path
 
     def read_health(
-        self, status: int, headers: HeaderMap, body: bytes
+        self, status: int, headers: dialect.HeaderMap, body: bytes
     ) -> upstreams.Health | None:
         """Return the result of a health check; None for another answer."""
         if wire.REQUEST_ID in headers:
@@ -75,12 +80,6 @@
         )
 
 
-def _is_signed(headers: HeaderMap) -> bool:
-    return bool(headers.get(wire.SIGNATURE)) and (
-        'Content-Encoding' not in headers
-    )
-
-
 def parse_load(text: str) -> upstreams.LoadReport | None:
     """Return the report in a load header; None if it is malformed.
 
--- a/jasminebeam/platform/wire.py
+++ b/jasminebeam/platform/wire.py
@@ -13,6 +13,10 @@
 ANSWERING_ID = 'Instance-Id'
 # Running requests, waiting requests, slots and slowness in percent.
 LOAD = 'Server-Load'
+# Requests per second that the upstream takes from all nodes together.
+LIMIT = 'Server-Limit'
+# "1" in each answer of an upstream that is about to stop.
+LEAVING = 'Server-Leaving'
 # Marks an answer to a request that did not run.
 NOT_RUN = 'Not-Executed'
 # Service of the upstream on the host where the request enters.
--- a/jasminebeam/settings.py
+++ b/jasminebeam/settings.py
@@ -232,11 +232,15 @@
 
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
     """Return the settings of a file, or a message about the first error."""
+    return read(path).bind(parse)
+
+
+def read(path: pathlib.Path) -> result.Result[str, str]:
+    """Return the text of a settings file, or an error message."""
     try:
-        text = path.read_text()
+        return result.Success(path.read_text())
     except OSError as error:
         return result.Failure(f'{path}: {error.strerror}')
-    return parse(text)
 
 
 def parse(text: str) -> result.Result[Settings, str]:
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -17,6 +17,7 @@
 from jasminebeam.peering import messages
 from jasminebeam.retries import idempotency
 from jasminebeam.retries import registry
+from jasminebeam.sidecar import condition
 from jasminebeam import supervision
 from jasminebeam.telemetry import events
 from jasminebeam import verdict
@@ -121,6 +122,7 @@
             0, limits.queue_ratio, limits.usable_ratio
         )
         self._host_speed = host_speed.HostSpeed()
+        self._condition = condition.UpstreamCondition(log, counters)
         # Requests that wait for a fresh report of the host's slowness.
         self._awaiting_report: list[registry.RequestId] = []
         # Queries that wait for such a report, with the time of their receipt.
@@ -156,12 +158,27 @@
     ) -> client.UpstreamClient | None:
         """Put an upstream into service and return the previous client."""
         previous = self._client
+        self._condition.on_attach(
+            _is_same_upstream(self.announcement, announcement)
+        )
         self._client = upstream_client
         self.announcement = announcement
         self.phase = upstreams.Phase.READY
         self._slots.slots = announcement.slots
         return previous
 
+    def update_start(self, announcement: upstreams.Announcement) -> None:
+        """Record the start of an upstream whose start was unknown."""
+        current = self.announcement
+        if (
+            current is not None
+            and not current.started_ms
+            and announcement.upstream_id == current.upstream_id
+        ):
+            self.announcement = dataclasses.replace(
+                current, started_ms=announcement.started_ms
+            )
+
     def drain(self) -> None:
         """Refuse new and waiting requests; let running ones finish."""
         if self.phase is upstreams.Phase.READY:
@@ -236,6 +253,19 @@
         if report.slots and report.slots != self._slots.slots:
             self._slots.slots = report.slots
 
+    def on_notice(
+        self,
+        announcement: upstreams.Announcement,
+        source: upstreams.NoticeSource,
+        notice: upstreams.Notice,
+    ) -> None:
+        """Record what the upstream states about itself in an answer.
+
+        Answers of a previous upstream are ignored.
+        """
+        if _is_same_upstream(self.announcement, announcement):
+            self._condition.on_notice(source, notice, self._clock())
+
     async def close(self) -> None:
         """Close the connections to the upstream."""
         if self._client is not None:
@@ -665,6 +695,16 @@
         )
 
 
+def _is_same_upstream(
+    current: upstreams.Announcement | None, other: upstreams.Announcement
+) -> bool:
+    """Return True unless the upstreams differ; a start may be unknown."""
+    if current is None or current.upstream_id != other.upstream_id:
+        return False
+    starts_ms = {current.started_ms, other.started_ms} - {0}
+    return len(starts_ms) < 2
+
+
 def _call_from(message: messages.Request, now_ms: float) -> requests.Call:
     return requests.Call(
         request_id=message.request_id,
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -47,6 +47,18 @@
     HEARTBEAT_REFUSED = EventKind(203, logbook.WARNING, 'heartbeat refused')
     UPSTREAM_LOST = EventKind(204, logbook.WARNING, 'upstream unreachable')
     UPSTREAM_FOUND = EventKind(205, logbook.INFO, 'upstream reachable again')
+    LIMIT_NAMED = EventKind(
+        206, logbook.WARNING, 'upstream named a rate limit'
+    )
+    LIMIT_MALFORMED = EventKind(
+        207, logbook.WARNING, 'malformed rate limit ignored'
+    )
+    LIMIT_ENDED = EventKind(
+        208, logbook.INFO, 'upstream no longer names a rate limit'
+    )
+    UPSTREAM_LEAVING = EventKind(
+        209, logbook.INFO, 'upstream stated that it is about to stop'
+    )
     LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import prometheus_client
 
 LATENCY_BUCKETS_S = (
@@ -111,6 +113,11 @@
     def _add_gauges(self) -> None:
         self.in_flight = self._gauge('in_flight', 'Requests at the upstream.')
         self.queued = self._gauge('queued', 'Requests that wait for a slot.')
+        self.upstream_limit = self._gauge(
+            'upstream_limit_per_s',
+            'Rate limit that the upstream names; NaN if there is none.',
+        )
+        self.upstream_limit.set(math.nan)
         self.members = prometheus_client.Gauge(
             'jasminebeam_members',
             'Known members by status.',
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -9,6 +9,7 @@
 import typing
 
 import aiohttp
+import multidict
 import yarl
 
 from jasminebeam import http_client
@@ -38,6 +39,19 @@
 _KEEP_ALIVE = re.compile(r'timeout=(\d+)')
 
 
+OnNotice = typing.Callable[
+    [upstreams.Announcement, upstreams.NoticeSource, upstreams.Notice], None
+]
+
+
+def ignore_notice(
+    announcement: upstreams.Announcement,
+    source: upstreams.NoticeSource,
+    notice: upstreams.Notice,
+) -> None:
+    """Ignore a notice; the caller only wants answers."""
+
+
 class UpstreamClient(typing.Protocol):
     """Runs one request at the upstream."""
 
@@ -110,6 +124,9 @@
         Converts requests and answers.
     on_report : callable
         Receives each load report.
+    on_notice : callable
+        Receives the announcement of the upstream, the kind of answer and
+        what the upstream states about itself in it.
     """
 
     def __init__(
@@ -118,11 +135,13 @@
         max_answer_bytes: int,
         dialect: dialect_module.UpstreamDialect,
         on_report: typing.Callable[[upstreams.LoadReport], None],
+        on_notice: OnNotice = ignore_notice,
     ) -> None:
         self.announcement = announcement
         self._max_answer_bytes = max_answer_bytes
         self._dialect = dialect
         self._on_report = on_report
+        self._on_notice = on_notice
         self._base_url = f'http://{announcement.host}:{announcement.port}'
         self._connector = UpstreamConnector(
             max_answer_bytes,
@@ -177,8 +196,14 @@
         if health is None:
             # The health check's own answer may still arrive.
             _current_protocol.get().close()
-        elif health.report is not None:
+            return None
+        if health.report is not None:
             self._on_report(health.report)
+        self._on_notice(
+            self.announcement,
+            upstreams.NoticeSource.HEALTH,
+            self._dialect.notice_headers.read(response.headers),
+        )
         return health
 
     async def close(self) -> None:
@@ -217,17 +242,30 @@
         body: bytes,
     ) -> verdict.Verdict:
         self._update_idle_limit(response)
-        report = self._dialect.read_report(response.headers)
-        if report is not None:
-            self._on_report(report)
         headers = tuple(
             (name.decode('latin-1'), value.decode('utf-8', 'replace'))
             for name, value in response.raw_headers
         )
         answer = requests.Answer(response.status, headers, body)
-        return self._dialect.classify(
+        result = self._dialect.classify(
             call, answer, response.headers, self.announcement
         )
+        if result.reason is not verdict.Reason.WRONG_ANSWER:
+            self._read_statements(result, response.headers)
+        return result
+
+    def _read_statements(
+        self, result: verdict.Verdict, headers: multidict.MultiMapping[str]
+    ) -> None:
+        """Pass on what the upstream reports and states in an answer."""
+        report = self._dialect.read_report(headers)
+        if report is not None:
+            self._on_report(report)
+        source = upstreams.NoticeSource.ANSWER
+        if result.outcome is verdict.Outcome.NOT_RUN:
+            source = upstreams.NoticeSource.REFUSAL
+        notice = self._dialect.notice_headers.read(headers)
+        self._on_notice(self.announcement, source, notice)
 
     def _update_idle_limit(self, response: aiohttp.ClientResponse) -> None:
         match = _KEEP_ALIVE.search(response.headers.get('Keep-Alive', ''))
--- a/jasminebeam/upstreams/dialect.py
+++ b/jasminebeam/upstreams/dialect.py
@@ -6,14 +6,22 @@
 
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
+from jasminebeam.upstreams import notices
 from jasminebeam import verdict
 
 HeaderMap = typing.Mapping[str, str]
 
+# Requests per second that the upstream accepts from all nodes together.
+LIMIT_HEADER = 'Jasminebeam-Limit'
+# "1" in each answer of an upstream that is about to stop.
+LEAVING_HEADER = 'Jasminebeam-Leaving'
+
 
 class UpstreamDialect(typing.Protocol):
     """Converts between calls and an upstream's HTTP messages."""
 
+    notice_headers: notices.HeaderNames
+
     def request_headers(
         self,
         call: requests.Call,
@@ -49,6 +57,8 @@
 class NativeDialect:
     """Dialect of jasminebeam's own HTTP interface to upstreams."""
 
+    notice_headers = notices.HeaderNames(LIMIT_HEADER, LEAVING_HEADER)
+
     def request_headers(
         self,
         call: requests.Call,
--- a/jasminebeam/upstreams/lifecycle.py
+++ b/jasminebeam/upstreams/lifecycle.py
@@ -24,9 +24,7 @@
     Parameters
     ----------
     announcement : Announcement
-        Address, identity and service of the upstream.
-    started_ms : int
-        Wall-clock ms of the upstream's start; 0 if unknown.
+        Address, identity, start and service of the upstream.
     sequence : int
         Increases with each heartbeat until the upstream restarts.
     draining : bool
@@ -34,10 +32,14 @@
     """
 
     announcement: upstreams.Announcement
-    started_ms: int
     sequence: int
     draining: bool
 
+    @property
+    def started_ms(self) -> int:
+        """Wall-clock ms of the upstream's start; 0 if unknown."""
+        return self.announcement.started_ms
+
 
 class UpstreamLifecycle:
     """Identifies the current upstream, even if older messages arrive late.
@@ -116,7 +118,7 @@
             announcement = dataclasses.replace(
                 fallback, upstream_id=upstream_id
             )
-            heartbeat = Heartbeat(announcement, 0, 0, draining=False)
+            heartbeat = Heartbeat(announcement, 0, draining=False)
         return self._attach(heartbeat)
 
     def on_identity_mismatch(self) -> Action:
@@ -145,8 +147,10 @@
 
 
 def _without_cold_start(heartbeat: Heartbeat) -> upstreams.Announcement:
-    """Return the announcement without the remaining cold-start time."""
-    return dataclasses.replace(heartbeat.announcement, cold_start_ms=0)
+    """Return the announcement without what changes while it is in force."""
+    return dataclasses.replace(
+        heartbeat.announcement, cold_start_ms=0, started_ms=0
+    )
 
 
 def _is_same_start(heartbeat: Heartbeat, current: Heartbeat) -> bool:
--- a/tests/test_upstreams/test_lifecycle.py
+++ b/tests/test_upstreams/test_lifecycle.py
@@ -17,9 +17,9 @@
     upstream_id='a', started_ms=1, sequence=1, draining=False, slots=9
 ):
     announcement = dataclasses.replace(
-        READY, upstream_id=upstream_id, slots=slots
+        READY, upstream_id=upstream_id, slots=slots, started_ms=started_ms
     )
-    return lifecycle.Heartbeat(announcement, started_ms, sequence, draining)
+    return lifecycle.Heartbeat(announcement, sequence, draining)
 
 
 def test_first_heartbeat_attaches_and_the_next_changes_nothing():
@@ -35,8 +35,8 @@
     """The connections must be kept during a cold start."""
     tested = lifecycle.UpstreamLifecycle()
     tested.on_heartbeat(_heartbeat())
-    in_cold_start = dataclasses.replace(READY, cold_start_ms=900)
-    heartbeat = lifecycle.Heartbeat(in_cold_start, 1, 2, draining=False)
+    in_cold_start = dataclasses.replace(READY, cold_start_ms=900, started_ms=1)
+    heartbeat = lifecycle.Heartbeat(in_cold_start, 2, draining=False)
     assert tested.on_heartbeat(heartbeat) is lifecycle.Action.NOTHING
 
 
