Add failing tests of named rate limits and of leaving upstreams

In virtual time, an upstream that names 4 requests a second gets all requests that its slots take, before and after a restart of its sidecar, and an upstream whose answers say that it leaves gets requests as before.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -38,6 +38,12 @@
         self.behaviour = 'answer'
         self.blocked: asyncio.Event | None = None
         self.cancelled = 0
+        # What the upstream states about itself in its answers.
+        self.notice = upstreams.NO_NOTICE
+        self.on_notice: typing.Callable[
+            [upstreams.NoticeSource, upstreams.Notice], None
+        ]
+        self.arrivals_ms: list[float] = []
 
     async def run(
         self, call: requests.Call, timeout_ms: float
@@ -45,7 +51,9 @@
         """Run a request according to the configured behaviour."""
         if self.behaviour == 'refuse':
             return verdict.not_run(verdict.Reason.CONNECT_FAILED)
+        self.arrivals_ms.append(1e3 * asyncio.get_running_loop().time())
         if self.behaviour == 'shed':
+            self.on_notice(upstreams.NoticeSource.REFUSAL, self.notice)
             return verdict.not_run(verdict.Reason.SHED)
         self.runs[call.request_id] += 1
         try:
@@ -57,6 +65,7 @@
             raise
         if self.behaviour == 'close':
             return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
+        self.on_notice(upstreams.NoticeSource.ANSWER, self.notice)
         status = 500 if self.behaviour == 'fail' else 200
         answer = requests.Answer(status, (), call.request_id.encode())
         return verdict.answered(answer)
@@ -137,12 +146,19 @@
         self.cluster = cluster
         self.member = member
         self.upstream = FakeUpstream()
+        self.upstream.on_notice = self._forward_notice
         self.faults = Faults()
         self.connections: list[FakeConnection] = []
         self.held_requests: list[tuple[FakeConnection, bytes]] = []
         self.held_answers: list[tuple[FakeConnection, bytes]] = []
         self.sidecar = self._create_sidecar(boot_id=1)
 
+    def _forward_notice(
+        self, source: upstreams.NoticeSource, notice: upstreams.Notice
+    ) -> None:
+        announcement = self.sidecar.announcement
+        self.sidecar.on_notice(announcement, source, notice)
+
     def restart(self) -> None:
         """Restart the process: new boot id, all connections closed."""
         self.sidecar = self._create_sidecar(self.sidecar.boot_id + 1)
--- /dev/null
+++ b/tests/test_sidecar/test_rate_limit.py
@@ -0,0 +1,93 @@
+"""Tests that no upstream receives more requests than it asks for."""
+
+from __future__ import annotations
+
+import pytest
+
+from jasminebeam.model import upstreams
+
+WINDOW_MS = 4_000.0
+# The limit binds this time after it was first named.
+BINDING_AFTER_MS = 3_000.0
+LIMIT_PER_S = 4.0
+INTERVAL_S = 0.03
+
+
+def allowed(limit_per_s, window_ms=WINDOW_MS):
+    """Return how many requests an upstream may receive in a window."""
+    return 1.5 * limit_per_s * window_ms / 1_000 + 5
+
+
+def most_in_window(instants_ms, window_ms=WINDOW_MS):
+    """Return the largest number of instants in any sliding window."""
+    instants_ms = sorted(instants_ms)
+    most = first = 0
+    for index, instant_ms in enumerate(instants_ms):
+        while instants_ms[first] <= instant_ms - window_ms:
+            first += 1
+        most = max(most, index - first + 1)
+    return most
+
+
+def _send_for(cluster, seconds, method='POST'):
+    for _ in range(int(seconds / INTERVAL_S)):
+        cluster.send(cluster.call(method))
+        cluster.run(INTERVAL_S)
+
+
+@pytest.fixture
+def limited(cluster):
+    """Provide a busy upstream that has named a limit for three seconds."""
+    server = cluster.add('limited', slots=9)
+    server.upstream.service_s = 0.05
+    _send_for(cluster, 1.0)
+    server.upstream.notice = upstreams.Notice(LIMIT_PER_S)
+    _send_for(cluster, BINDING_AFTER_MS / 1_000)
+    return server
+
+
+def _most_since(server, since_ms):
+    return most_in_window(
+        instant_ms
+        for instant_ms in server.upstream.arrivals_ms
+        if instant_ms >= since_ms
+    )
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_named_limit_was_exceeded(cluster, limited, method):
+    """The requests of any four seconds must stay within the limit."""
+    since_ms = cluster.loop.now_ms()
+    _send_for(cluster, 10.0, method)
+    assert 0 < _most_since(limited, since_ms) <= allowed(LIMIT_PER_S)
+
+
+def test_named_limit_was_forgotten_in_a_restart(cluster, limited):
+    """A restarted sidecar must know the limit before its first request."""
+    since_ms = cluster.loop.now_ms()
+    limited.upstream.notice = upstreams.NO_NOTICE
+    for _ in range(3):
+        _send_for(cluster, 1.0)
+        limited.restart()
+    _send_for(cluster, 1.0)
+    assert 0 < _most_since(limited, since_ms) <= allowed(LIMIT_PER_S)
+
+
+def test_leaving_upstream_received_requests(cluster, limited):
+    """Once an answer says that the upstream leaves, it gets no request."""
+    limited.upstream.notice = upstreams.Notice(leaving=True)
+    _send_for(cluster, 2.0)
+    since_ms = cluster.loop.now_ms()
+    _send_for(cluster, 3.0)
+    assert not _most_since(limited, since_ms)
+
+
+def test_leaving_upstream_received_requests_after_a_restart(cluster, limited):
+    """A restarted sidecar must know that its upstream leaves."""
+    limited.upstream.notice = upstreams.Notice(leaving=True)
+    _send_for(cluster, 2.0)
+    limited.upstream.notice = upstreams.NO_NOTICE
+    since_ms = cluster.loop.now_ms()
+    limited.restart()
+    _send_for(cluster, 3.0)
+    assert not _most_since(limited, since_ms)
