Keep to the rate limit that an upstream names, also across restarts

Upstreams that named a limit got requests as their slots allowed: 72 in 4 s at 8.2 a second (54 allowed). Callers saw nothing of it.

Cause: the sidecar admits by slots alone; what the upstream states about the rate that it takes was read nowhere. The class of fault: a promise to the upstream that no state of the system carries, so that neither an answer nor a restart could bring it into force. The leaving mark in answers is the same case. Ruled out by the logs: retries and hedges (as many ids as requests), and a limit kept by each ingress node alone (the rate did not fall).

Retries, hedges and nested calls count alike. Requests wait by priority; those that cannot start in time are refused at once as not run (rate_limited), which ejects nobody, hedges nothing and uses no retry budget. While a limit or the leaving mark holds, the sidecar puts a notice ahead of its load samples; no byte is added otherwise. Ingress nodes prefer upstreams with room, and give the notice back to a sidecar that has restarted, ahead of their first request.

A state machine of requests, changed limits, restarts and pauses found that a restart followed by a lower limit exceeded the window by one; a restarted sidecar now assumes that the limit was used in full.

--- a/jasminebeam/admission/queue.py
+++ b/jasminebeam/admission/queue.py
@@ -5,6 +5,7 @@
 import bisect
 import dataclasses
 import math
+import typing
 
 from jasminebeam.admission import host_speed
 
@@ -105,6 +106,13 @@
     wait_expired: tuple[object, ...] = ()
 
 
+EarliestWait = typing.Callable[[int], float]
+
+
+def _no_wait(ahead: int) -> float:
+    return 0.0
+
+
 class WaitingQueue:
     """Requests that wait for a slot of one upstream.
 
@@ -141,15 +149,29 @@
         self._entries.clear()
         return tickets
 
-    def drop(self, now_ms: float) -> Dropped:
-        """Remove the requests that have waited too long."""
+    def drop(
+        self, now_ms: float, earliest_wait_ms: EarliestWait = _no_wait
+    ) -> Dropped:
+        """Remove the requests that have waited, or would wait, too long.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time.
+        earliest_wait_ms : callable
+            Returns the shortest time until a request may start, given the
+            number of requests ahead of it.
+        """
         too_late = []
         wait_expired = []
-        kept = []
+        kept: list[Waiting] = []
         for waiting in self._entries:
+            start_ms = now_ms + earliest_wait_ms(len(kept))
             if waiting.is_too_late(now_ms):
                 too_late.append(waiting.ticket)
-            elif now_ms >= waiting.queue_deadline_ms:
+            elif start_ms >= waiting.queue_deadline_ms or (
+                waiting.is_too_late(start_ms)
+            ):
                 wait_expired.append(waiting.ticket)
             else:
                 kept.append(waiting)
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -7,6 +7,7 @@
 import math
 
 from jasminebeam.admission import queue
+from jasminebeam.admission import rate_limit
 from jasminebeam.model import upstreams
 from jasminebeam import verdict
 
@@ -114,6 +115,7 @@
 START = Decision(Action.START)
 WAIT = Decision(Action.WAIT)
 BUSY = Decision(Action.REFUSE, verdict.Reason.BUSY)
+RATE_LIMITED = Decision(Action.REFUSE, verdict.Reason.RATE_LIMITED)
 QUEUE_FULL = Decision(Action.REFUSE, verdict.Reason.QUEUE_FULL)
 MISSES_DEADLINE = Decision(Action.REFUSE, verdict.Reason.WOULD_MISS_DEADLINE)
 
@@ -145,6 +147,8 @@
         self.slots = slots
         # Slowness of the host without short-term variations.
         self.baseline_slowness = 1.0
+        # Rate limit that the upstream names.
+        self.limit = rate_limit.RateLimit()
         self._queue_ratio = queue_ratio
         self._usable_ratio = usable_ratio
         self._started: dict[object, float] = {}
@@ -207,8 +211,7 @@
     def _plan(self, offer: Offer, slowness: float, now_ms: float) -> _Plan:
         typical_ms = self._typical_ms(offer, now_ms)
         start_delay_ms = queue.max_start_delay_ms(slowness, typical_ms)
-        has_free = len(self._started) < self.usable_slots
-        if not start_delay_ms and has_free and not self._queue:
+        if not start_delay_ms and self._may_start(now_ms) and not self._queue:
             return _Plan(START)
         ahead = self._queue.timely_ahead(
             offer.priority, offer.objective_ms, now_ms
@@ -221,7 +224,7 @@
             # that timely requests leave.
             wait_ms = max(start_delay_ms, self.predicted_wait_ms(now_ms))
             if self._queue.has_timely(now_ms) or wait_ms > late_wait_ms:
-                return _Plan(BUSY)
+                return self._refuse(BUSY, now_ms)
             late_from_ms = now_ms
         waiting = queue.Waiting(
             offer.ticket,
@@ -234,13 +237,24 @@
             late_from_ms + late_wait_ms,
         )
         if waiting.is_too_late(now_ms + wait_ms):
-            return _Plan(MISSES_DEADLINE)
+            return self._refuse(MISSES_DEADLINE, now_ms)
         if wait_ms > offer.max_wait_ms:
-            return _Plan(BUSY)
+            return self._refuse(BUSY, now_ms)
         if len(self._queue) >= self.slots * self._queue_ratio:
             return _Plan(QUEUE_FULL)
         return _Plan(WAIT, wait_ms, waiting)
 
+    def _refuse(self, decision: Decision, now_ms: float) -> _Plan:
+        """Return a refusal, which names the rate limit if it is the cause."""
+        if self.limit.wait_ms(0, now_ms):
+            return _Plan(RATE_LIMITED)
+        return _Plan(decision)
+
+    def _may_start(self, now_ms: float) -> bool:
+        if len(self._started) >= self.usable_slots:
+            return False
+        return not self.limit.wait_ms(0, now_ms)
+
     def release(
         self, ticket: object, slowness: float, now_ms: float, measured: bool
     ) -> Released:
@@ -278,8 +292,17 @@
         return self._queue.clear()
 
     def drop(self, now_ms: float) -> queue.Dropped:
-        """Remove the queued requests that have waited too long."""
-        return self._queue.drop(now_ms)
+        """Remove the queued requests that have waited too long.
+
+        While a rate limit is in force, those that it will hold back for too
+        long are removed as well.
+        """
+        self.limit = self.limit.recovered(now_ms)
+        if not self.limit.paced:
+            return self._queue.drop(now_ms)
+        return self._queue.drop(
+            now_ms, lambda ahead: self.limit.wait_ms(ahead, now_ms)
+        )
 
     def service_ms(self, now_ms: float) -> float:
         """Return the service time, raised while completions are missing.
@@ -305,12 +328,13 @@
         return self._wait_ms(len(self._queue), now_ms)
 
     def _wait_ms(self, queued: int, now_ms: float) -> float:
+        limit_wait_ms = self.limit.wait_ms(queued, now_ms)
         ahead = len(self._started) + queued + 1 - self.usable_slots
         if ahead <= 0 or not self.usable_slots:
-            return 0.0
+            return limit_wait_ms
         baseline_ms = self._service_ms * self.baseline_slowness
         service_ms = max(baseline_ms, self.service_ms(now_ms))
-        return ahead * service_ms / self.usable_slots
+        return max(limit_wait_ms, ahead * service_ms / self.usable_slots)
 
     def sample(
         self,
@@ -339,9 +363,9 @@
     def fill(self, slowness: float, now_ms: float) -> Released:
         """Fill the free slots from the queue, in its order."""
         self._queue.update_slowness(slowness, now_ms)
-        dropped = self._queue.drop(now_ms)
+        dropped = self.drop(now_ms)
         start = []
-        while len(self._started) < self.usable_slots:
+        while self._may_start(now_ms):
             waiting = self._queue.pop(now_ms)
             if waiting is None:
                 break
@@ -357,6 +381,7 @@
             # completion is counted from the first start.
             self._last_completion_ms = now_ms
         self._started[ticket] = now_ms
+        self.limit = self.limit.started(now_ms)
         self._start_conditions[ticket] = (
             slowness * self.baseline_slowness,
             route,
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -11,6 +11,7 @@
 import zmq
 
 from jasminebeam import adapters as adapters_module
+from jasminebeam.admission import rate_limit
 from jasminebeam.callers import http
 from jasminebeam import clock
 from jasminebeam.configuration import directory
@@ -67,6 +68,7 @@
     messages.Probe,
     messages.AdmissionQuery,
     messages.Ping,
+    messages.UpstreamNotice,
 )
 
 
@@ -114,6 +116,7 @@
         )
         self.probes = probing.ProbePlanner()
         self.sidecar = self._create_sidecar(boot_id)
+        self.sidecar.on_leaving = self._on_upstream_leaving
         self._gossip_options = gossip.Options()
         self.membership = self._create_membership()
         self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
@@ -129,6 +132,9 @@
             sidecar.Limits(
                 queue_ratio=upstream.queue_ratio,
                 usable_ratio=upstream.usable_ratio,
+                rate_limit=rate_limit.Options(
+                    upstream.limit_burst_ms, upstream.limit_hold_ms
+                ),
             ),
             self.log,
             self.metrics,
@@ -229,6 +235,7 @@
             service=announcement.service,
             slots=announcement.slots,
         )
+        self.sidecar.adopt_pending_notice()
 
     @property
     def ready(self) -> bool:
@@ -247,6 +254,16 @@
             self.upstream_lifecycle.on_leave(upstream_id, started_ms)
         )
 
+    def _on_upstream_leaving(self) -> None:
+        """Drain the upstream because its answers say that it leaves."""
+        announcement = self.sidecar.announcement
+        if self.upstream_lifecycle.current is None:
+            self.drain_upstream()
+        else:
+            self.on_upstream_leave(
+                announcement.upstream_id, announcement.started_ms
+            )
+
     async def check_upstream(self) -> None:
         """Check the health and the identity of the local upstream."""
         if self.sidecar.announcement is None:
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -333,6 +333,35 @@
     sample: upstreams.LoadSample
 
 
+class UpstreamNotice(Message, tag=27):
+    """States the rate limit of an upstream, and whether it leaves.
+
+    A sidecar sends this message ahead of its load samples while either
+    applies. An ingress node sends the last one that it has received to a
+    sidecar that has restarted since then, ahead of its first request.
+
+    Parameters
+    ----------
+    upstream_id : str
+        Identity of the upstream; empty if it has none.
+    started_ms : int
+        Wall-clock ms of the upstream's start; 0 if unknown.
+    limit_per_s : float or None
+        Rate of requests that the upstream accepts from all nodes together;
+        None if there is no limit.
+    wait_us : int
+        Time until the upstream takes a further request.
+    leaving : bool
+        True if the upstream has stated that it is about to stop.
+    """
+
+    upstream_id: str
+    started_ms: int
+    limit_per_s: float | None
+    wait_us: int
+    leaving: bool
+
+
 AnyMessage = (
     Hello
     | Welcome
@@ -360,6 +389,7 @@
     | RoutesReply
     | AdmissionQuery
     | AdmissionReply
+    | UpstreamNotice
 )
 
 CONTROL_TYPES = (
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -76,6 +76,16 @@
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the time between a ping and its answer."""
 
+    def on_notice(
+        self, notice: messages.UpstreamNotice, boot_id: int, now_ms: float
+    ) -> None:
+        """Record what the upstream states about itself."""
+
+    def notice_for(
+        self, boot_id: int, now_ms: float
+    ) -> messages.UpstreamNotice | None:
+        """Return what a restarted sidecar must know; None if nothing."""
+
 
 class Peer:
     """Client of one sidecar: its connection and the attempts sent to it.
@@ -122,6 +132,7 @@
             messages.Pong: self._on_pong,
             messages.ProbeReply: self._on_probe_reply,
             messages.AdmissionReply: self._on_admission_reply,
+            messages.UpstreamNotice: self._on_upstream_notice,
         }
 
     @property
@@ -331,6 +342,7 @@
         now_ms = self._clock()
         self._reconnect_at_ms = 0.0
         self._observer.on_sample(message.sample, self._clock())
+        self._send_notice(message.boot_id, now_ms)
         for attempt in list(self._recovering.values()):
             if attempt.boot_id == message.boot_id:
                 self._send_revoke(attempt)
@@ -375,6 +387,22 @@
             self._counters.revocations.labels('running').inc()
             self._sent[request_id] = attempt
 
+    def _on_upstream_notice(self, message: messages.UpstreamNotice) -> None:
+        self._observer.on_notice(message, self._link.boot_id, self._clock())
+
+    def _send_notice(self, boot_id: int, now_ms: float) -> None:
+        """Tell a restarted sidecar what it told before its restart."""
+        notice = self._observer.notice_for(boot_id, now_ms)
+        if notice is None:
+            return
+        self._link.send(notice)
+        self._log.write(
+            events.Event.NOTICE_RETURNED,
+            address=self._link.address,
+            limit_per_s=notice.limit_per_s,
+            leaving=notice.leaving,
+        )
+
     def _on_pong(self, message: messages.Pong) -> None:
         sent_ms = self._pings.pop(message.nonce, None)
         if sent_ms is not None:
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -173,6 +173,23 @@
         if state is not None:
             state.on_sample(sample, now_ms)
 
+    def on_notice(
+        self, notice: messages.UpstreamNotice, boot_id: int, now_ms: float
+    ) -> None:
+        """Record what the upstream states about itself."""
+        self._routes.notices.record(self._node_id, notice, boot_id, now_ms)
+        state = self._routes.state(self._node_id)
+        if state is not None:
+            state.on_notice(notice, now_ms)
+
+    def notice_for(
+        self, boot_id: int, now_ms: float
+    ) -> messages.UpstreamNotice | None:
+        """Return what a restarted sidecar must know; None if nothing."""
+        return self._routes.notices.for_restarted(
+            self._node_id, boot_id, now_ms
+        )
+
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the time between a ping and its answer."""
         state = self._routes.state(self._node_id)
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -30,6 +30,7 @@
 _REROUTE_REASONS = frozenset(
     {
         verdict.Reason.BUSY,
+        verdict.Reason.RATE_LIMITED,
         verdict.Reason.QUEUE_FULL,
         verdict.Reason.WOULD_MISS_DEADLINE,
         verdict.Reason.DRAINING,
--- a/jasminebeam/routing/admission_estimates.py
+++ b/jasminebeam/routing/admission_estimates.py
@@ -63,6 +63,10 @@
         sample = state.sample
         if sample is None or now_ms - state.sample_ms > MAX_SAMPLE_AGE_MS:
             continue
+        if not state.has_room(now_ms) or (
+            state.limit_per_s is not None and state.sent_since_sample
+        ):
+            continue
         load = sample.in_flight + sample.queued + state.sent_since_sample
         if load < sample.slots and not _is_slow(state):
             return UpstreamEstimate(state, verdict.Reason.NONE, 0.0)
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -66,7 +66,8 @@
         if not untried:
             return Choice(None, verdict.Reason.NO_UPSTREAM)
         policy = self._policies[service.policy]
-        return Choice(policy.choose(untried, now_ms, wall_ms))
+        with_room = [state for state in untried if state.has_room(now_ms)]
+        return Choice(policy.choose(with_room or untried, now_ms, wall_ms))
 
     def rank(
         self,
@@ -77,6 +78,8 @@
     ) -> list[table.UpstreamState]:
         """Return the upstreams for the next attempt, cheapest first.
 
+        Those whose rate limit is known to be used up come last.
+
         The list is empty if the policy of the service does not compare
         costs. The parameters are those of `choose`.
         """
@@ -84,7 +87,12 @@
         if not isinstance(policy, policies.LeastCost):
             return []
         candidates = self._candidates(service, tried, now_ms)
-        return policy.rank(candidates, now_ms, wall_ms)
+        with_room = [state for state in candidates if state.has_room(now_ms)]
+        ranked = policy.rank(with_room, now_ms, wall_ms)
+        if len(with_room) < len(candidates):
+            limited = [s for s in candidates if not s.has_room(now_ms)]
+            ranked += policy.rank(limited, now_ms, wall_ms)
+        return ranked
 
     def _candidates(
         self,
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -6,9 +6,13 @@
 import typing
 
 from jasminebeam.model import upstreams
+from jasminebeam.routing import notices
 from jasminebeam.routing import subset
 from jasminebeam import verdict
 
+if typing.TYPE_CHECKING:
+    from jasminebeam.peering import messages
+
 ROUND_TRIP_EWMA_WEIGHT = 0.2
 FAILURE_EWMA_WEIGHT = 0.15
 EJECT_FAILURE_RATE = 0.5
@@ -23,6 +27,7 @@
         verdict.Reason.REVOKED,
         verdict.Reason.QUEUE_FULL,
         verdict.Reason.BUSY,
+        verdict.Reason.RATE_LIMITED,
         verdict.Reason.WOULD_MISS_DEADLINE,
         verdict.Reason.DEADLINE,
         verdict.Reason.SHED,
@@ -54,6 +59,8 @@
         'ejections',
         'failure_rate',
         'has_measured_round_trip',
+        'limit_per_s',
+        'limited_until_ms',
         'member',
         'outstanding',
         'round_trip_ms',
@@ -81,6 +88,9 @@
         self.consecutive_failures = 0
         self.ejected_until_ms = 0.0
         self.ejections = 0
+        # Rate limit that the upstream names; None if there is none.
+        self.limit_per_s: float | None = None
+        self.limited_until_ms = 0.0
 
     def replace_member(self, member: upstreams.Member) -> None:
         """Replace the membership record.
@@ -89,6 +99,7 @@
         """
         if member.incarnation != self.member.incarnation:
             self.ejected_until_ms = 0.0
+            self.limit_per_s = None
             self.sample = None
         elif member.phase is not self.member.phase:
             self.sample = None
@@ -103,6 +114,17 @@
         self.sample_ms = now_ms
         self.sent_since_sample = 0
 
+    def on_notice(
+        self, notice: messages.UpstreamNotice, now_ms: float
+    ) -> None:
+        """Record the rate limit of the upstream."""
+        self.limit_per_s = notice.limit_per_s
+        self.limited_until_ms = now_ms + notice.wait_us / 1_000
+
+    def has_room(self, now_ms: float) -> bool:
+        """Return False while the rate limit is known to be used up."""
+        return now_ms >= self.limited_until_ms
+
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the round trip time that a ping has measured."""
         if not self.has_measured_round_trip:
@@ -197,6 +219,7 @@
         self._states: dict[str, UpstreamState] = {}
         self._subsets: dict[str, tuple[UpstreamState, ...]] = {}
         self.unreachable_domains: frozenset[str] = frozenset()
+        self.notices = notices.NoticeBook()
 
     def update(self, member: upstreams.Member) -> None:
         """Apply a changed membership record."""
--- a/jasminebeam/settings.py
+++ b/jasminebeam/settings.py
@@ -140,6 +140,12 @@
         Maximum size of an answer body.
     load_interval_ms : int
         Time between two reads of the upstream's load report.
+    limit_burst_ms : int
+        If the upstream names a rate limit, the requests of this time may be
+        sent at once after a pause.
+    limit_hold_ms : int
+        Time for which a rate limit stays in force after the last answer
+        that names it.
     """
 
     announce_port: Port = 7002
@@ -149,6 +155,8 @@
         int, msgspec.Meta(ge=1, le=1_048_576)
     ] = 1_048_576
     load_interval_ms: Milliseconds = 1_000
+    limit_burst_ms: typing.Annotated[int, msgspec.Meta(ge=1, le=1_000)] = 500
+    limit_hold_ms: Milliseconds = 3_000
 
 
 class OperatorsSection(_Section):
--- a/jasminebeam/sidecar/condition.py
+++ b/jasminebeam/sidecar/condition.py
@@ -6,18 +6,33 @@
 import typing
 
 from jasminebeam.admission import rate_limit
+from jasminebeam.peering import messages
 from jasminebeam.telemetry import events
 
 if typing.TYPE_CHECKING:
+    from jasminebeam.admission import slots
     from jasminebeam.model import upstreams
     from jasminebeam.telemetry import metrics
 
+# Notices of ingress nodes that are kept until their upstream is attached.
+MAX_PENDING_NOTICES = 16
+
+# Source of what an ingress node has reported, in the log.
+_INGRESS = 'ingress'
+
 
 class UpstreamCondition:
     """Tracks the rate limit of the local upstream, and whether it leaves.
 
+    A sidecar that has restarted learns both from the ingress nodes that have
+    forwarded such answers.
+
     Parameters
     ----------
+    slot_queue : SlotQueue
+        Keeps to the limit.
+    options : Options
+        Options of rate limits.
     log : EventLog
         Receives each change.
     counters : Metrics
@@ -25,20 +40,29 @@
     """
 
     def __init__(
-        self, log: events.EventLog, counters: metrics.Metrics
+        self,
+        slot_queue: slots.SlotQueue,
+        options: rate_limit.Options,
+        log: events.EventLog,
+        counters: metrics.Metrics,
     ) -> None:
-        self.limit = rate_limit.UNLIMITED
         self.leaving = False
+        self._slots = slot_queue
+        self._slots.limit = rate_limit.RateLimit(options=options)
+        self._options = options
         self._log = log
         self._counters = counters
         self._last_malformed = ''
+        self._answered_ms: float | None = None
+        self._pending: dict[str, messages.UpstreamNotice] = {}
 
     def on_attach(self, same_upstream: bool) -> None:
         """Start anew; a limit applies to one start of one upstream."""
         self.leaving = False
         if same_upstream:
             return
-        self.limit = rate_limit.UNLIMITED
+        self._slots.limit = rate_limit.RateLimit(options=self._options)
+        self._answered_ms = None
         self._last_malformed = ''
         self._counters.upstream_limit.set(math.nan)
 
@@ -49,35 +73,89 @@
         now_ms: float,
     ) -> None:
         """Record what the upstream states in an answer."""
+        if self._answered_ms is None:
+            self._answered_ms = now_ms
         if notice.malformed_limit:
             self._log_malformed(source, notice.malformed_limit)
         if notice.limit_per_s is not None:
-            self._name(source, notice.limit_per_s, now_ms)
-        elif not notice.malformed_limit and self.limit.in_force:
+            named = self._slots.limit.named(notice.limit_per_s, source, now_ms)
+            self._replace(named, source.value)
+        elif not notice.malformed_limit and self._slots.limit.in_force:
             self._unname(source, now_ms)
-        if notice.leaving and not self.leaving:
-            self.leaving = True
-            self._log.write(events.Event.UPSTREAM_LEAVING, source=source.value)
+        if notice.leaving:
+            self._leave(source.value)
 
-    def _name(
-        self, source: upstreams.NoticeSource, per_s: float, now_ms: float
-    ) -> None:
-        previous = self.limit
-        self.limit = previous.named(per_s, source, now_ms)
-        if per_s == previous.per_s:
+    def keep_pending(self, message: messages.UpstreamNotice) -> None:
+        """Keep an ingress node's notice until its upstream is attached."""
+        if len(self._pending) >= MAX_PENDING_NOTICES:
+            del self._pending[next(iter(self._pending))]
+        self._pending[message.upstream_id] = message
+
+    def take_pending(self, upstream_id: str) -> messages.UpstreamNotice | None:
+        """Return the notice about an upstream, and drop all others."""
+        notice = self._pending.get(upstream_id)
+        self._pending.clear()
+        return notice
+
+    def adopt(self, message: messages.UpstreamNotice, now_ms: float) -> None:
+        """Apply what an ingress node knows from before a restart.
+
+        The upstream's own answers take precedence. Those without a limit
+        do so only after the hold time, because an upstream may name its
+        limit in some answers only.
+        """
+        if message.leaving:
+            self._leave(_INGRESS)
+        if message.limit_per_s is None or self._slots.limit.paced:
+            return
+        if (
+            self._answered_ms is not None
+            and now_ms - self._answered_ms >= self._options.hold_ms
+        ):
+            return
+        adopted = self._slots.limit.adopted(message.limit_per_s, now_ms)
+        self._replace(adopted, _INGRESS)
+
+    def statement(
+        self, announcement: upstreams.Announcement | None, now_ms: float
+    ) -> messages.UpstreamNotice | None:
+        """Return the notice for ingress nodes; None if there is no need."""
+        self._slots.limit = self._slots.limit.recovered(now_ms)
+        if announcement is None or not (
+            self._slots.limit.paced or self.leaving
+        ):
+            return None
+        return messages.UpstreamNotice(
+            announcement.upstream_id,
+            announcement.started_ms,
+            self._slots.limit.per_s if self._slots.limit.in_force else None,
+            int(self._slots.limit.wait_ms(0, now_ms) * 1_000),
+            self.leaving,
+        )
+
+    def _leave(self, source: str) -> None:
+        if self.leaving:
+            return
+        self.leaving = True
+        self._log.write(events.Event.UPSTREAM_LEAVING, source=source)
+
+    def _replace(self, named: rate_limit.RateLimit, source: str) -> None:
+        previous = self._slots.limit
+        self._slots.limit = named
+        if previous.in_force and named.per_s == previous.per_s:
             return
-        self._counters.upstream_limit.set(per_s)
+        self._counters.upstream_limit.set(named.per_s)
         self._log.write(
             events.Event.LIMIT_NAMED,
-            limit_per_s=per_s,
+            limit_per_s=named.per_s,
             previous_per_s=previous.per_s if previous.in_force else None,
-            source=source.value,
+            source=source,
         )
 
     def _unname(self, source: upstreams.NoticeSource, now_ms: float) -> None:
-        previous = self.limit
-        self.limit = previous.unnamed(source, now_ms)
-        if self.limit.in_force:
+        previous = self._slots.limit
+        self._slots.limit = previous.unnamed(source, now_ms)
+        if self._slots.limit.in_force:
             return
         self._counters.upstream_limit.set(math.nan)
         self._log.write(
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -11,6 +11,7 @@
 
 from jasminebeam.admission import host_speed
 from jasminebeam.admission import queue
+from jasminebeam.admission import rate_limit
 from jasminebeam.admission import slots
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
@@ -58,6 +59,8 @@
         Maximum number of idempotency keys kept.
     registry : jasminebeam.retries.registry.Limits
         Limits of the request registry.
+    rate_limit : jasminebeam.admission.rate_limit.Options
+        Options of the rate limit that the upstream names.
     """
 
     queue_ratio: float = 4.0
@@ -67,6 +70,7 @@
     registry: registry.Limits = dataclasses.field(
         default_factory=registry.Limits
     )
+    rate_limit: rate_limit.Options = rate_limit.DEFAULT_OPTIONS
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +116,8 @@
         self.phase = upstreams.Phase.ABSENT
         self.announcement: upstreams.Announcement | None = None
         self.reported_load = -1
+        # Called once the upstream has stated that it is about to stop.
+        self.on_leaving: typing.Callable[[], None] = self.drain
         self._stopping = False
         self._limits = limits
         self._log = log
@@ -122,7 +128,9 @@
             0, limits.queue_ratio, limits.usable_ratio
         )
         self._host_speed = host_speed.HostSpeed()
-        self._condition = condition.UpstreamCondition(log, counters)
+        self._condition = condition.UpstreamCondition(
+            self._slots, limits.rate_limit, log, counters
+        )
         # Requests that wait for a fresh report of the host's slowness.
         self._awaiting_report: list[registry.RequestId] = []
         # Queries that wait for such a report, with the time of their receipt.
@@ -149,6 +157,7 @@
             messages.Probe: self._on_probe,
             messages.AdmissionQuery: self._on_query,
             messages.Ping: self._on_ping,
+            messages.UpstreamNotice: self._on_upstream_notice,
         }
 
     def attach(
@@ -265,6 +274,38 @@
         """
         if _is_same_upstream(self.announcement, announcement):
             self._condition.on_notice(source, notice, self._clock())
+            self._drain_if_leaving()
+
+    def adopt_pending_notice(self) -> None:
+        """Apply what ingress nodes have told about the attached upstream.
+
+        Called when the node has published that the upstream is ready.
+        """
+        notice = self._condition.take_pending(self.announcement.upstream_id)
+        if notice is not None:
+            self._adopt(notice)
+
+    def _on_upstream_notice(
+        self, message: messages.UpstreamNotice, send: Send
+    ) -> None:
+        if self.announcement is None:
+            self._condition.keep_pending(message)
+        else:
+            self._adopt(message)
+
+    def _adopt(self, message: messages.UpstreamNotice) -> None:
+        reported = dataclasses.replace(
+            self.announcement,
+            upstream_id=message.upstream_id,
+            started_ms=message.started_ms,
+        )
+        if _is_same_upstream(self.announcement, reported):
+            self._condition.adopt(message, self._clock())
+            self._drain_if_leaving()
+
+    def _drain_if_leaving(self) -> None:
+        if self._condition.leaving and self.phase is upstreams.Phase.READY:
+            self.on_leaving()
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
@@ -303,12 +344,15 @@
         send(messages.Pong(message.nonce))
 
     def _on_probe(self, message: messages.Probe, send: Send) -> None:
+        self._send_notice(send)
         sample = self.sample(self._clock())
         send(messages.ProbeReply(message.nonce, sample))
 
     def _on_query(self, message: messages.AdmissionQuery, send: Send) -> None:
         now_ms = self._clock()
-        if self._host_speed.needs_check(now_ms, ESTIMATE_MAX_AGE_MS):
+        if not self._slots.limit.wait_ms(0, now_ms) and (
+            self._host_speed.needs_check(now_ms, ESTIMATE_MAX_AGE_MS)
+        ):
             self._pending_queries.append((message, send, now_ms))
             self._start_polling()
         else:
@@ -335,6 +379,7 @@
             estimate = self._slots.estimate(offer, slowness, now_ms)
         else:
             estimate = slots.AdmissionEstimate(refused.reason, 0.0)
+        self._send_notice(send)
         send(
             messages.AdmissionReply(
                 message.nonce,
@@ -377,7 +422,9 @@
         if refused is not None:
             self._finish(request_id, refused, now_ms)
             return
-        if self._host_speed.needs_check(now_ms):
+        if not self._slots.limit.wait_ms(0, now_ms) and (
+            self._host_speed.needs_check(now_ms)
+        ):
             self._awaiting_report.append(request_id)
             self._start_polling()
         else:
@@ -426,13 +473,17 @@
             or self._slots.queued
         ):
             self._poll_wanted.clear()
-            if self._host_speed.needs_check(self._clock()):
+            now_ms = self._clock()
+            limit_wait_s = self._slots.limit.wait_ms(0, now_ms) / 1_000
+            if not limit_wait_s and self._host_speed.needs_check(now_ms):
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(SLOWNESS_CHECK_TIMEOUT_S):
                         await self.check_health()
             self._process_pending()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(SLOWNESS_POLL_INTERVAL_S):
+                async with asyncio.timeout(
+                    max(SLOWNESS_POLL_INTERVAL_S, limit_wait_s)
+                ):
                     await self._poll_wanted.wait()
 
     def _process_pending(self) -> None:
@@ -472,6 +523,8 @@
             self._finish(request_id, verdict.not_run(reason), now_ms)
         for request_id in dropped.wait_expired:
             reason = verdict.Reason.BUSY
+            if self._slots.limit.wait_ms(0, now_ms):
+                reason = verdict.Reason.RATE_LIMITED
             self._finish(request_id, verdict.not_run(reason), now_ms)
 
     def _check_ready(self, service: str) -> verdict.Verdict | None:
@@ -603,6 +656,16 @@
             'slowness': self._host_speed.slowness(now_ms),
             'report_age_ms': self._host_speed.age_ms(now_ms),
             'phase': self.phase.name.lower(),
+            **self._limit_inputs(now_ms),
+        }
+
+    def _limit_inputs(self, now_ms: float) -> dict[str, object]:
+        limit = self._slots.limit
+        if not limit.paced:
+            return {}
+        return {
+            'limit_per_s': limit.per_s,
+            'limit_wait_ms': round(limit.wait_ms(0, now_ms), 1),
         }
 
     def _on_cancel(self, message: messages.Cancel, send: Send) -> None:
@@ -668,6 +731,7 @@
         send: Send,
     ) -> None:
         self._counters.refusals.labels(reason.value).inc()
+        self._send_notice(send)
         sample = self.sample(self._clock())
         send(messages.Failure(*request_id, may_have_run, reason.value, sample))
 
@@ -677,6 +741,7 @@
         result: verdict.Verdict,
         send: Send,
     ) -> None:
+        self._send_notice(send)
         sample = self.sample(self._clock())
         if result.answer is None:
             may_have_run = result.outcome is not verdict.Outcome.NOT_RUN
@@ -694,6 +759,11 @@
             )
         )
 
+    def _send_notice(self, send: Send) -> None:
+        notice = self._condition.statement(self.announcement, self._clock())
+        if notice is not None:
+            send(notice)
+
 
 def _is_same_upstream(
     current: upstreams.Announcement | None, other: upstreams.Announcement
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -63,6 +63,9 @@
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
     PEER_UNAUTHORIZED = EventKind(303, logbook.WARNING, 'peer key refused')
+    NOTICE_RETURNED = EventKind(
+        304, logbook.INFO, 'restarted sidecar told what it had stated before'
+    )
     MEMBER_JOINED = EventKind(400, logbook.INFO, 'member joined')
     MEMBER_SUSPECTED = EventKind(401, logbook.INFO, 'member suspected')
     MEMBER_DEAD = EventKind(402, logbook.WARNING, 'member declared dead')
--- a/jasminebeam/upstreams/lifecycle.py
+++ b/jasminebeam/upstreams/lifecycle.py
@@ -89,6 +89,14 @@
             return Action.NOTHING
         if self._draining:
             return Action.NOTHING
+        if started_ms and not current.started_ms:
+            # A later start under the same identity must not count as this one.
+            self.current = dataclasses.replace(
+                current,
+                announcement=dataclasses.replace(
+                    current.announcement, started_ms=started_ms
+                ),
+            )
         self._draining = True
         return Action.DRAIN
 
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -31,6 +31,7 @@
     STOPPING = 'stopping'
     QUEUE_FULL = 'queue_full'
     BUSY = 'busy'
+    RATE_LIMITED = 'rate_limited'
     WOULD_MISS_DEADLINE = 'would_miss_deadline'
     DEADLINE = 'deadline'
     CANCELLED = 'cancelled'
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -210,6 +210,7 @@
             self.member.service, 1, slots=self.member.slots
         )
         created.attach(announcement, self.upstream)
+        created.adopt_pending_notice()
         return created
 
     def _receive(self, connection: FakeConnection, frame: bytes) -> None:
