Send a refused request again only over another connection

Callers were told "not run, try again" while the request ran.

It could happen here: once all upstreams have refused a request, the ingress node sends it again, perhaps to the same upstream, and the copy of the refusal carries the right id. Shown by a test with a small server, for 503 and 421, which failed on both event loops: the second attempt counted as not run. Checked as well: an answer under another id or without one was already no answer, and between nodes each attempt has its own number.

Each connection now remembers the requests that were refused on it. Such a request is sent over another connection, where the copy cannot arrive; other requests still use the first one, so that a full upstream causes no flood of new connections. A connection with more than 256 refusals is closed.

Tests: the new ones pass, and one shows that the connection is kept.

--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -36,6 +36,10 @@
 REUSE_RATIO = 0.7
 INITIAL_REUSE_S = 4.0
 
+# Refused requests that are remembered for one connection. It is closed when
+# there are more.
+MAX_REFUSED_IDS = 256
+
 _KEEP_ALIVE = re.compile(r'timeout=(\d+)')
 
 
@@ -68,9 +72,24 @@
 
 
 class _ResetAwareProtocol(http_client.LimitedProtocol):
-    """Records whether the connection ended with a reset."""
+    """Records a reset, and the requests that were refused.
+
+    A faulty upstream may write a refusal once more. If the same request
+    were sent again on the connection, the copy would seem to answer it.
+    """
 
     was_reset = False
+    _refused_ids: frozenset[str] = frozenset()
+
+    def on_refused(self, request_id: str) -> None:
+        """Record that the upstream has refused a request."""
+        self._refused_ids |= {request_id}
+        if len(self._refused_ids) > MAX_REFUSED_IDS:
+            self.close()
+
+    def has_refused(self, request_id: str) -> bool:
+        """Return True if the upstream has refused the request on it."""
+        return request_id in self._refused_ids
 
     def eof_received(self) -> None:
         """Check whether a reset caused the end of the stream.
@@ -96,10 +115,16 @@
     async def connect(
         self, *args: typing.Any, **kwargs: typing.Any
     ) -> aiohttp.connector.Connection:
-        """Return a connection and record its protocol for the caller."""
-        connection = await super().connect(*args, **kwargs)
-        _current_protocol.set(connection.protocol)
-        return connection
+        """Return a connection that has not refused the same request.
+
+        Its protocol is recorded for the caller.
+        """
+        while True:
+            connection = await super().connect(*args, **kwargs)
+            if not connection.protocol.has_refused(_current_request_id.get()):
+                _current_protocol.set(connection.protocol)
+                return connection
+            connection.close()
 
     def set_idle_limit(self, idle_s: float) -> None:
         """Set for how long an idle connection may be reused."""
@@ -109,6 +134,9 @@
 _current_protocol: contextvars.ContextVar[_ResetAwareProtocol | None] = (
     contextvars.ContextVar('protocol', default=None)
 )
+_current_request_id: contextvars.ContextVar[str] = contextvars.ContextVar(
+    'request_id', default=''
+)
 
 
 class HttpUpstreamClient:
@@ -213,6 +241,7 @@
     async def _exchange(
         self, call: requests.Call, timeout_ms: float
     ) -> verdict.Verdict:
+        _current_request_id.set(call.request_id)
         async with self._session.request(
             call.method,
             yarl.URL(self._base_url + call.target, encoded=True),
@@ -233,6 +262,8 @@
                 # The answer to this request may still arrive, so the
                 # connection must not be reused.
                 protocol.close()
+            elif result.outcome is verdict.Outcome.NOT_RUN:
+                protocol.on_refused(call.request_id)
             return result
 
     def _classify(
--- a/tests/test_platform/test_late_answers.py
+++ b/tests/test_platform/test_late_answers.py
@@ -34,7 +34,9 @@
     def __init__(self):
         self.port = ports.free_port()
         self.copy = b''
-        self.runs = []
+        # Status and additional header of the first answer of a connection.
+        self.first = (b'200 OK', b'')
+        self.connections = 0
 
     async def start(self):
         """Start listening."""
@@ -44,8 +46,10 @@
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            self.connections += 1
             head = await reader.readuntil(b'\r\n\r\n')
-            writer.write(_answer(head, b'200 OK'))
+            status, extra = self.first
+            writer.write(_answer(head, status, extra=extra))
             head = await reader.readuntil(b'\r\n\r\n')
             writer.write(self.copy)
             await writer.drain()
@@ -138,3 +142,32 @@
     assert await tested.check_health() is None
     third = await tested.run(_call('third'), 5_000.0)
     assert third.outcome is verdict.Outcome.ANSWERED
+
+
+@pytest.mark.parametrize(
+    ('status', 'extra'), [COPIES['shed'], COPIES['misdirected']]
+)
+async def test_refusal_written_once_more_answers_no_second_attempt(
+    upstream, tested, status, extra
+):
+    """A request that comes back must not get the copy of its refusal.
+
+    The copy carries the id of the request, which runs at that time.
+    """
+    upstream.first = (status, extra)
+    upstream.copy = _answer(FIRST_HEAD, status, extra=extra)
+    first = await tested.run(_call('first'), 5_000.0)
+    assert first.outcome is verdict.Outcome.NOT_RUN
+    upstream.first = (b'200 OK', b'')
+    second = await tested.run(_call('first'), 5_000.0)
+    assert second.outcome is verdict.Outcome.ANSWERED
+
+
+async def test_connection_is_kept_after_a_refusal(upstream, tested):
+    """Other requests may use the connection on which one was refused."""
+    upstream.first = COPIES['shed']
+    upstream.copy = _answer(b'\r\nRequest-Id: other\r\n', b'200 OK')
+    await tested.run(_call('first'), 5_000.0)
+    second = await tested.run(_call('other'), 5_000.0)
+    assert second.outcome is verdict.Outcome.ANSWERED
+    assert upstream.connections == 1
