--- a/tests/test_upstreams/test_client.py
+++ b/tests/test_upstreams/test_client.py
@@ -17,6 +17,7 @@
 from jasminebeam.upstreams import dialect
 from jasminebeam import verdict
 from tests import ports
+from tests import resets
 
 
 @pytest.fixture(
@@ -60,19 +61,11 @@
                 writer.write(self.late_data)
             if self.reset_after:
                 await asyncio.sleep(0.02)
-                _reset(writer)
+                resets.reset(writer)
                 return
         writer.close()
 
 
-def _reset(writer):
-    raw = writer.get_extra_info('socket')
-    raw.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
-    writer.transport.abort()
-
-
 @pytest.fixture
 async def upstream():
     """Provide a scripted upstream."""
