Refuse requests that a graceful stop would cut

It could happen here: after stop_grace_ms a node no longer listens, but while a request in progress keeps it running, a kept connection still delivered one more request, which got the full time of its caller and was cut at stop_timeout_ms. Shown by a test that failed before: the late request was passed on.

Such a request is now refused at once as not run, with Retry-After and Connection: close, unless its deadline lies before the end of the stop. Calls of requests that the local upstream is running are exempt: refusing them would fail their parent, which ends together with them.

Tests: the late request is refused and does not run; a short one is served; the long one that keeps the node running gets its answer.

--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import http
+import math
 import typing
 
 from aiohttp import hdrs
@@ -86,6 +87,7 @@
         self._elapsed = elapsed.ElapsedEstimator()
         self._runner: web.ServerRunner | None = None
         self._in_progress = 0
+        self._latest_deadline_ms = math.inf
         self.stopping = False
 
     async def start(self, host: str, port: int) -> None:
@@ -96,20 +98,25 @@
         site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
         await site.start()
 
-    async def stop(self, grace_s: float) -> None:
+    async def stop(self, grace_s: float, end_ms: float) -> None:
         """Stop listening after a grace period; answer requests in progress.
 
         From the start of the grace period on, each keep-alive connection is
-        closed with its next answer.
+        closed with its next answer. After the grace period, requests that
+        arrive over such a connection are refused as not run unless their
+        deadline lies before the end of the stop.
 
         Parameters
         ----------
         grace_s : float
             Time for which the server still accepts new requests, so that
             callers can switch to other nodes.
+        end_ms : float
+            Monotonic instant at which requests in progress are cut.
         """
         self.stopping = True
         await asyncio.sleep(grace_s)
+        self._latest_deadline_ms = end_ms
         for site in list(self._runner.sites):
             await site.stop()
         while self._in_progress:
@@ -194,16 +201,28 @@
     async def _dispatch(
         self, call: requests.Call, match: routes.RouteMatch
     ) -> verdict.Verdict:
-        if self._clock() < call.deadline_ms:
+        reason = self._refusal_reason(call)
+        if reason is verdict.Reason.NONE:
             return await self._dispatcher.dispatch(call, match.service)
-        # The caller's time has passed while the request waited behind others
-        # on its connection.
         self._log.write(
             events.Event.REQUEST_REFUSED,
             request=call.request_id,
-            reason=verdict.Reason.DEADLINE.value,
+            reason=reason.value,
         )
-        return verdict.not_run(verdict.Reason.DEADLINE)
+        return verdict.not_run(reason)
+
+    def _refusal_reason(self, call: requests.Call) -> verdict.Reason:
+        if self._clock() >= call.deadline_ms:
+            # The caller's time has passed while the request waited behind
+            # others on its connection.
+            return verdict.Reason.DEADLINE
+        if (
+            call.deadline_ms > self._latest_deadline_ms
+            and call.priority != routes.NESTED_PRIORITY
+        ):
+            # A nested call is served: its parent ends together with it.
+            return verdict.Reason.STOPPING
+        return verdict.Reason.NONE
 
     def _refuse_unmatched(self, request: web.BaseRequest) -> web.Response:
         self._log.write(
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -201,10 +201,11 @@
         self.sidecar.stop()
         self.membership.publish(phase=upstreams.Phase.DRAINING)
         timeout_s = self._settings.node.stop_timeout_ms / 1_000
+        end_ms = clock.monotonic_ms() + timeout_s * 1_000
         try:
             async with asyncio.timeout(timeout_s):
                 await self._callers.stop(
-                    self._settings.callers.stop_grace_ms / 1_000
+                    self._settings.callers.stop_grace_ms / 1_000, end_ms
                 )
                 await self.sidecar.wait_idle()
         except TimeoutError:
