Show named rate limits to operators, and play them in the stand-ins

jasminebeam-ctl upstreams and ListUpstreams show the limit of each upstream that the answering node has heard of. Both stand-ins can name a limit and state that they leave; tests with real sockets cover a limit over the native interface, a leaving upstream that announces itself again, and a node of the platform that restarts beside a leaving upstream that seems well.

The cells of jasminebeam-ctl's tables may now hold numbers with fractions and absent fields.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -35,6 +35,9 @@
         self.slowness_percent = 100
         self.healthy = True
         self.behaviour = ''
+        # Value of the header that names a rate limit; empty for none.
+        self.limit = ''
+        self.leaving = False
         self.service_time_s = SERVICE_TIME_S
         self.runs: collections.Counter[str] = collections.Counter()
         self.callers: set[str] = set()
@@ -102,6 +105,10 @@
             'Server-Load': f'{self._running},0,{self.slots},'
             f'{self.slowness_percent}'
         }
+        if self.limit:
+            headers['Server-Limit'] = self.limit
+        if self.leaving:
+            headers['Server-Leaving'] = '1'
         if request.path == '/health':
             headers['Instance-Id'] = self.upstream_id
             status = 200 if self.healthy else 503
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -70,12 +70,27 @@
         Answer with the announced shed status instead of running.
     close_after_receipt : bool
         Run the request, then close the connection without an answer.
+    limit_per_s : float or None
+        Rate limit that each answer names; None for none.
+    leaving : bool
+        State in each answer that the upstream is about to stop.
     """
 
     slow_factor: float = 1.0
     fail_fast: bool = False
     shed: bool = False
     close_after_receipt: bool = False
+    limit_per_s: float | None = None
+    leaving: bool = False
+
+    def headers(self) -> dict[str, str]:
+        """Return what the answers state about the upstream."""
+        headers = {}
+        if self.limit_per_s is not None:
+            headers['Jasminebeam-Limit'] = str(self.limit_per_s)
+        if self.leaving:
+            headers['Jasminebeam-Leaving'] = '1'
+        return headers
 
 
 SHED_STATUS = 503
@@ -161,7 +176,8 @@
             return await self._handle_control(request)
         body = await request.read()
         if self._faults.shed:
-            return web.Response(status=SHED_STATUS, headers={SHED_HEADER: '1'})
+            headers = {SHED_HEADER: '1', **self._faults.headers()}
+            return web.Response(status=SHED_STATUS, headers=headers)
         request_id = request.headers.get('X-Request-Id', '')
         if self._faults.fail_fast:
             self._count_run(request_id)
@@ -185,7 +201,7 @@
             request.transport.abort()
         if self._options.next_url:
             return await self._call_next(request, request_id)
-        headers = {'X-Served-Id': request_id}
+        headers = {'X-Served-Id': request_id, **self._faults.headers()}
         return web.Response(body=body or request_id.encode(), headers=headers)
 
     def _count_run(self, request_id: str) -> None:
--- a/jasminebeam/cmd/ctl.py
+++ b/jasminebeam/cmd/ctl.py
@@ -143,6 +143,7 @@
         'queued',
         'sample_age_ms',
         'ejected',
+        'limit_per_s',
     )
     _print_rows(answer.upstreams, fields)
 
@@ -218,14 +219,18 @@
         print(json.dumps(documents, indent=2))
         return
     rows = [
-        [_format_cell(getattr(message, field)) for field in fields]
+        [_format_cell(message, field) for field in fields]
         for message in messages
     ]
     print(tabulate.tabulate(rows, headers=fields))
 
 
-def _format_cell(value: typing.Any) -> typing.Any:
-    if isinstance(value, bool | int | str):
+def _format_cell(message: typing.Any, field: str) -> typing.Any:
+    is_optional = message.DESCRIPTOR.fields_by_name[field].has_presence
+    if is_optional and not message.HasField(field):
+        return ''
+    value = getattr(message, field)
+    if isinstance(value, bool | int | float | str):
         return value
     return ' '.join(value)
 
--- a/jasminebeam/operators/service.py
+++ b/jasminebeam/operators/service.py
@@ -232,6 +232,7 @@
             queued=sample.queued if sample else 0,
             sample_age_ms=int(now_ms - state.sample_ms) if sample else -1,
             ejected=state is not None and state.is_ejected(now_ms),
+            limit_per_s=state.limit_per_s if state is not None else None,
         )
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -236,3 +236,44 @@
         len(each.membership.members()) == 2 for each in cluster.nodes[:2]
     )
     assert (await cluster.call(1))[0] == 200
+
+
+async def test_named_limit_is_kept_and_shown(cluster):
+    """The limit bounds the requests; operators see it."""
+    await cluster.add(service='other')
+    await cluster.add()
+    await cluster.create_service()
+    await wait_until(lambda: _knows_ready_upstreams(cluster.nodes[0], 1))
+    cluster.upstreams[1].set_faults(stand_in.Faults(limit_per_s=0.5))
+    assert (await cluster.call(0))[0] == 200
+    timeout = {'Jasminebeam-Timeout-Ms': '200'}
+    status, headers, _ = await cluster.call(0, headers=timeout)
+    assert status == 503
+    assert headers['Jasminebeam-Reason'] == 'rate_limited'
+    assert cluster.upstreams[1].runs.total() == 1
+    channel = grpc_client.Channel(
+        '127.0.0.1', cluster.settings[0].operators.port
+    )
+    stub = operators_grpc.OperatorsStub(channel)
+    request = operators_pb2.ListUpstreamsRequest(service='fees')
+    listed = (await stub.ListUpstreams(request)).upstreams
+    channel.close()
+    assert [upstream.limit_per_s for upstream in listed] == [0.5]
+    gauge = cluster.nodes[1].metrics.registry.get_sample_value(
+        'jasminebeam_upstream_limit_per_s'
+    )
+    assert gauge == 0.5
+
+
+async def test_leaving_upstream_is_drained(cluster):
+    """After an answer with the mark, the upstream gets no request."""
+    await cluster.add()
+    await cluster.create_service()
+    await wait_until(lambda: _knows_ready_upstreams(cluster.nodes[0], 1))
+    cluster.upstreams[0].set_faults(stand_in.Faults(leaving=True))
+    assert (await cluster.call(0))[0] == 200
+    assert (await cluster.call(0))[0] == 503
+    assert cluster.upstreams[0].runs.total() == 1
+    cluster.upstreams[0].set_faults(stand_in.Faults())
+    await cluster.upstreams[0].announce()
+    assert (await cluster.call(0))[0] == 200
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -281,3 +281,27 @@
     status, _, _ = await cluster.send_request(request_id='after')
     assert status == 503
     assert sum(upstream.runs.values()) == runs
+
+
+async def test_restarted_node_knows_what_its_upstream_stated(cluster):
+    """After a restart, a leaving upstream that seems well gets no work.
+
+    The other node has forwarded an answer that says that it leaves.
+    """
+    await cluster.add_host()
+    await cluster.add_host()
+    for index in (0, 1):
+        cluster.upstreams[index].leaving = index == 1
+    other = cluster.nodes[0]
+    await cluster.wait_until(lambda: len(other.routes.members_of('fees')) == 2)
+    while not cluster.upstreams[1].runs:
+        await cluster.send_request(request_id=f'{cluster.upstreams[0].runs}')
+    cluster.upstreams[1].leaving = False
+    await cluster.nodes.pop().stop()
+    cluster.nodes.append(await cluster.start_node(cluster.settings[1]))
+    restarted = cluster.nodes[1].sidecar
+    await cluster.wait_until(lambda: restarted.announcement is not None)
+    runs = cluster.upstreams[1].runs.total()
+    for number in range(20):
+        await cluster.send_request(request_id=f'after-{number}')
+    assert cluster.upstreams[1].runs.total() == runs
