Send no hedges to upstreams that name a rate limit

Callers lost nothing directly: a hedge to an upstream with a limit used up requests that the upstream allows, which other callers then were refused.

Cause: a hedge chose among all upstreams with room, and a limit with room for one request counts as room. Found while completing the tests of the ingress role; shown by a test that failed before: with the other upstream slow, four of 40 requests were hedged to the limited one.

The new test compares the two fleets: a limit must not add a hedge.

Further tests, which passed at once: nobody is refused while another upstream has room, the room of a limited upstream is used, load beyond all limits is refused at once as not run, refusals use no retry budget, and a fleet without limits sends no notice.

--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -322,7 +322,10 @@
         if call.key:
             choice = self._selector.choose_owner(progress.service, call.key)
         else:
-            choice = self._selector.choose(
+            choose = self._selector.choose
+            if hedge:
+                choose = self._selector.choose_for_hedge
+            choice = choose(
                 progress.service,
                 progress.tried_nodes,
                 now_ms,
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -69,6 +69,28 @@
         with_room = [state for state in untried if state.has_room(now_ms)]
         return Choice(policy.choose(with_room or untried, now_ms, wall_ms))
 
+    def choose_for_hedge(
+        self,
+        service: services.Service,
+        tried: abc.Collection[str],
+        now_ms: float,
+        wall_ms: float,
+    ) -> Choice:
+        """Return the upstream for a hedge.
+
+        Upstreams that name a rate limit are left to requests that need them.
+        The parameters are those of `choose`.
+        """
+        unlimited = [
+            state
+            for state in self._candidates(service, tried, now_ms)
+            if state.limit_per_s is None
+        ]
+        if not unlimited:
+            return Choice(None, verdict.Reason.NO_UPSTREAM)
+        policy = self._policies[service.policy]
+        return Choice(policy.choose(unlimited, now_ms, wall_ms))
+
     def rank(
         self,
         service: services.Service,
