Merge what several ingress nodes know of a restarted upstream's condition

An upstream got requests after it had stated that it leaves, or more than its limit, when its sidecar restarted and two ingress nodes told it different things.

Cause: before the upstream is found, the notice of the last ingress node replaced the others, so a leaving mark could be lost. Afterwards, the first limit counted, also if another node had heard a lower one later. Each ingress node tells what it knows once for each process of the sidecar, so nothing corrected it before the upstream's own answers.

Change: kept notices are merged: a mark holds, the lowest limit counts, and notices about an earlier start are dropped. Limits that are told after that count if they are lower and the upstream itself has not named one.

--- a/jasminebeam/sidecar/condition.py
+++ b/jasminebeam/sidecar/condition.py
@@ -6,12 +6,12 @@
 import typing
 
 from jasminebeam.admission import rate_limit
+from jasminebeam.model import upstreams
 from jasminebeam.peering import messages
 from jasminebeam.telemetry import events
 
 if typing.TYPE_CHECKING:
     from jasminebeam.admission import slots
-    from jasminebeam.model import upstreams
     from jasminebeam.telemetry import metrics
 
 # Notices of ingress nodes that are kept until their upstream is attached.
@@ -54,6 +54,7 @@
         self._counters = counters
         self._last_malformed = ''
         self._answered_ms: float | None = None
+        self._has_named_limit = False
         self._pending: dict[str, messages.UpstreamNotice] = {}
 
     def on_attach(self, same_upstream: bool) -> None:
@@ -63,6 +64,7 @@
             return
         self._slots.limit = rate_limit.RateLimit(options=self._options)
         self._answered_ms = None
+        self._has_named_limit = False
         self._last_malformed = ''
         self._counters.upstream_limit.set(math.nan)
 
@@ -78,6 +80,7 @@
         if notice.malformed_limit:
             self._log_malformed(source, notice.malformed_limit)
         if notice.limit_per_s is not None:
+            self._has_named_limit = True
             named = self._slots.limit.named(notice.limit_per_s, source, now_ms)
             self._replace(named, source.value)
         elif not notice.malformed_limit and self._slots.limit.in_force:
@@ -87,8 +90,11 @@
 
     def keep_pending(self, message: messages.UpstreamNotice) -> None:
         """Keep an ingress node's notice until its upstream is attached."""
+        kept = self._pending.pop(message.upstream_id, None)
         if len(self._pending) >= MAX_PENDING_NOTICES:
             del self._pending[next(iter(self._pending))]
+        if kept is not None:
+            message = _merge(kept, message)
         self._pending[message.upstream_id] = message
 
     def take_pending(self, upstream_id: str) -> messages.UpstreamNotice | None:
@@ -102,19 +108,28 @@
 
         The upstream's own answers take precedence. Those without a limit
         do so only after the hold time, because an upstream may name its
-        limit in some answers only.
+        limit in some answers only. Ingress nodes may have heard of the
+        upstream at different times, so the lowest of their limits counts.
         """
         if message.leaving:
             self._leave(_INGRESS)
-        if message.limit_per_s is None or self._slots.limit.paced:
+        per_s = message.limit_per_s
+        if per_s is None or self._is_limit_known(now_ms):
             return
-        if (
-            self._answered_ms is not None
-            and now_ms - self._answered_ms >= self._options.hold_ms
-        ):
-            return
-        adopted = self._slots.limit.adopted(message.limit_per_s, now_ms)
-        self._replace(adopted, _INGRESS)
+        limit = self._slots.limit
+        if not limit.paced:
+            self._replace(limit.adopted(per_s, now_ms), _INGRESS)
+        elif per_s < limit.per_s:
+            source = upstreams.NoticeSource.ANSWER
+            self._replace(limit.named(per_s, source, now_ms), _INGRESS)
+
+    def _is_limit_known(self, now_ms: float) -> bool:
+        """Return True if the upstream's answers show whether it has one."""
+        if self._has_named_limit:
+            return True
+        if self._answered_ms is None:
+            return False
+        return now_ms - self._answered_ms >= self._options.hold_ms
 
     def statement(
         self, announcement: upstreams.Announcement | None, now_ms: float
@@ -173,3 +188,28 @@
         self._log.write(
             events.Event.LIMIT_MALFORMED, value=text, source=source.value
         )
+
+
+def _merge(
+    kept: messages.UpstreamNotice, received: messages.UpstreamNotice
+) -> messages.UpstreamNotice:
+    """Return what holds according to two notices about one upstream.
+
+    Those about an earlier start do not apply.
+    """
+    if 0 < kept.started_ms < received.started_ms:
+        return received
+    if 0 < received.started_ms < kept.started_ms:
+        return kept
+    limits_per_s = [
+        notice.limit_per_s
+        for notice in (kept, received)
+        if notice.limit_per_s is not None
+    ]
+    return messages.UpstreamNotice(
+        kept.upstream_id,
+        max(kept.started_ms, received.started_ms),
+        min(limits_per_s, default=None),
+        max(kept.wait_us, received.wait_us),
+        kept.leaving or received.leaving,
+    )
--- a/tests/test_sidecar/test_rate_limit.py
+++ b/tests/test_sidecar/test_rate_limit.py
@@ -5,6 +5,8 @@
 import pytest
 
 from jasminebeam.model import upstreams
+from jasminebeam.peering import messages
+from jasminebeam.sidecar import sidecar
 
 WINDOW_MS = 4_000.0
 # The limit binds this time after it was first named.
@@ -91,3 +93,56 @@
     limited.restart()
     _send_for(cluster, 3.0)
     assert not _most_since(limited, since_ms)
+
+
+@pytest.fixture
+def restarted(cluster):
+    """Provide a sidecar that has not found its upstream yet."""
+    return sidecar.Sidecar(
+        2,
+        sidecar.Limits(),
+        cluster.log,
+        cluster.metrics,
+        cluster.loop.now_ms,
+    )
+
+
+def _attach(restarted, upstream, started_ms=0):
+    announcement = upstreams.Announcement(
+        'fees', 1, upstream_id='u', started_ms=started_ms
+    )
+    restarted.attach(announcement, upstream)
+    restarted.adopt_pending_notice()
+
+
+def _notice(limit_per_s, leaving=False, started_ms=7):
+    return messages.UpstreamNotice('u', started_ms, limit_per_s, 0, leaving)
+
+
+@pytest.mark.parametrize('attached_first', [False, True])
+@pytest.mark.parametrize(
+    'notices',
+    [
+        (_notice(None, leaving=True), _notice(4.0)),
+        (_notice(8.0), _notice(4.0, leaving=True)),
+        (_notice(4.0), _notice(8.0, leaving=True)),
+    ],
+)
+def test_older_notice_replaced_a_newer_one(
+    cluster, limited, restarted, notices, attached_first
+):
+    """Ingress nodes may have heard of the upstream at different times.
+
+    A mark of one of them holds, and so does the lowest limit.
+    """
+    if attached_first:
+        _attach(restarted, limited.upstream)
+    for notice in notices:
+        restarted.handle(notice, lambda reply: None)
+    if not attached_first:
+        _attach(restarted, limited.upstream)
+    assert restarted.phase is upstreams.Phase.DRAINING
+    limits = cluster.metrics.registry.get_sample_value(
+        'jasminebeam_upstream_limit_per_s'
+    )
+    assert limits == LIMIT_PER_S
