Tell a restarted upstream from the start that has left

An upstream that started again under its identity got no work for good, when its sidecar had restarted as well and an ingress node had told the sidecar that the former start leaves.

Cause: a health check tells no start, so the restarted sidecar did not know which start the mark applied to, and the lifecycle took each later heartbeat for that start. The notice names the start; it is now recorded with the mark.

The test beside it had two faults. It never ended if a health check stated the mark before the first answer did (seen once: the test ran for ten minutes and was ended by hand; the stand-in may now leave both statements out of health checks). And its 20 requests all went to the other upstream, so it passed with the mechanism out. Now no other upstream is left, and it fails without the notice that is sent on the new connection.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -38,6 +38,8 @@
         # Value of the header that names a rate limit; empty for none.
         self.limit = ''
         self.leaving = False
+        # Whether answers to health checks state the limit and the mark.
+        self.states_in_health = True
         self.service_time_s = SERVICE_TIME_S
         self.runs: collections.Counter[str] = collections.Counter()
         self.callers: set[str] = set()
@@ -105,11 +107,10 @@
             'Server-Load': f'{self._running},0,{self.slots},'
             f'{self.slowness_percent}'
         }
-        if self.limit:
-            headers['Server-Limit'] = self.limit
-        if self.leaving:
-            headers['Server-Leaving'] = '1'
-        if request.path == '/health':
+        is_check = request.path == '/health'
+        if self.states_in_health or not is_check:
+            headers |= self._statements()
+        if is_check:
             headers['Instance-Id'] = self.upstream_id
             status = 200 if self.healthy else 503
             return web.Response(status=status, headers=headers)
@@ -123,6 +124,14 @@
             return web.Response(status=503, headers=headers)
         return await self._run_request(request, request_id, headers)
 
+    def _statements(self) -> dict[str, str]:
+        statements = {}
+        if self.limit:
+            statements['Server-Limit'] = self.limit
+        if self.leaving:
+            statements['Server-Leaving'] = '1'
+        return statements
+
     async def _run_request(
         self,
         request: web.BaseRequest,
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -299,9 +299,13 @@
             upstream_id=message.upstream_id,
             started_ms=message.started_ms,
         )
-        if _is_same_upstream(self.announcement, reported):
-            self._condition.adopt(message, self._clock())
-            self._drain_if_leaving()
+        if not _is_same_upstream(self.announcement, reported):
+            return
+        if message.leaving:
+            # A later start under the same identity is not the one that left.
+            self.update_start(reported)
+        self._condition.adopt(message, self._clock())
+        self._drain_if_leaving()
 
     def _drain_if_leaving(self) -> None:
         if self._condition.leaving and self.phase is upstreams.Phase.READY:
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -7,6 +7,7 @@
 import pytest
 
 from jasminebeam.admission import host_speed
+from jasminebeam.model import upstreams
 from jasminebeam import node
 from jasminebeam.platform import adapter
 from jasminebeam.platform import settings
@@ -283,14 +284,15 @@
     assert sum(upstream.runs.values()) == runs
 
 
-async def test_restarted_node_knows_what_its_upstream_stated(cluster):
-    """After a restart, a leaving upstream that seems well gets no work.
+async def _restart_beside_leaving_upstream(cluster):
+    """Restart a node after another has heard that its upstream leaves.
 
-    The other node has forwarded an answer that says that it leaves.
+    No other upstream is left.
     """
     await cluster.add_host()
     await cluster.add_host()
     for index in (0, 1):
+        cluster.upstreams[index].states_in_health = False
         cluster.upstreams[index].leaving = index == 1
     other = cluster.nodes[0]
     await cluster.wait_until(lambda: len(other.routes.members_of('fees')) == 2)
@@ -298,10 +300,58 @@
         await cluster.send_request(request_id=f'{cluster.upstreams[0].runs}')
     cluster.upstreams[1].leaving = False
     await cluster.nodes.pop().stop()
-    cluster.nodes.append(await cluster.start_node(cluster.settings[1]))
-    restarted = cluster.nodes[1].sidecar
-    await cluster.wait_until(lambda: restarted.announcement is not None)
+    restarted = await cluster.start_node(cluster.settings[1])
+    cluster.nodes.append(restarted)
+    await cluster.upstreams[0].send_heartbeat(
+        cluster.settings[0].adapter.announcements, state='draining'
+    )
+    await cluster.wait_until(lambda: _is_ready_at(other, 'n1'))
+    return restarted
+
+
+def _is_ready_at(viewer, node_id):
+    member = viewer.routes.get_or_create_state(node_id).member
+    return member.phase is upstreams.Phase.READY
+
+
+async def _send_until(cluster, condition):
+    """Send requests until a condition holds; return their statuses."""
+    statuses = set()
+    async with asyncio.timeout(5.0):
+        while not condition():
+            status, _, _ = await cluster.send_request()
+            statuses.add(status)
+            await asyncio.sleep(0.01)
+    return statuses
+
+
+async def test_restarted_node_knows_what_its_upstream_stated(cluster):
+    """After a restart, a leaving upstream that seems well gets no work.
+
+    The other node has forwarded an answer that says that it leaves.
+    """
+    restarted = await _restart_beside_leaving_upstream(cluster)
     runs = cluster.upstreams[1].runs.total()
-    for number in range(20):
-        await cluster.send_request(request_id=f'after-{number}')
+    statuses = await _send_until(
+        cluster,
+        lambda: restarted.sidecar.phase is upstreams.Phase.DRAINING,
+    )
+    assert statuses == {503}
     assert cluster.upstreams[1].runs.total() == runs
+
+
+async def test_restarted_upstream_was_taken_for_the_one_that_left(cluster):
+    """A later start under the same identity gets work."""
+    restarted = await _restart_beside_leaving_upstream(cluster)
+    await _send_until(
+        cluster,
+        lambda: restarted.sidecar.phase is upstreams.Phase.DRAINING,
+    )
+    await cluster.upstreams[1].send_heartbeat(
+        cluster.settings[1].adapter.announcements, born=2
+    )
+    assert restarted.sidecar.phase is upstreams.Phase.READY
+    runs = cluster.upstreams[1].runs.total()
+    await _send_until(
+        cluster, lambda: cluster.upstreams[1].runs.total() > runs
+    )
