Use what the first health check of a restarted node states

After a restart, a node that found its upstream by a health check sent requests beyond the limit, or to a leaving upstream, until the first answer to a request.

Cause: the client of this first check ignored what the answer states, since it is replaced as soon as the upstream is attached. But where only the restarted node itself knew, nothing did.

The statement is now applied when the upstream is attached, before the first request can be sent.

--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -298,8 +298,11 @@
         if configured is None:
             return
         reports: list[upstreams.LoadReport] = []
+        notices: list[upstreams.Notice] = []
         health_client = self._create_client(
-            configured, reports.append, client.ignore_notice
+            configured,
+            reports.append,
+            lambda announcement, source, notice: notices.append(notice),
         )
         try:
             health = await health_client.check_health()
@@ -315,6 +318,11 @@
             upstream_lifecycle.on_identity(health.upstream_id, announcement)
         )
         self.sidecar.on_report(reports[0])
+        self.sidecar.on_notice(
+            self.sidecar.announcement,
+            upstreams.NoticeSource.HEALTH,
+            notices[0],
+        )
 
     def _create_client(
         self,
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -355,3 +355,28 @@
     await _send_until(
         cluster, lambda: cluster.upstreams[1].runs.total() > runs
     )
+
+
+@pytest.mark.parametrize('leaving', [False, True])
+async def test_first_health_check_of_a_restarted_node_was_ignored(
+    cluster, leaving
+):
+    """What the check states counts before the first request is sent."""
+    await cluster.add_host()
+    upstream = cluster.upstreams[0]
+    upstream.limit = '0.5'
+    upstream.leaving = leaving
+    await cluster.nodes.pop().stop()
+    restarted = await cluster.start_node(cluster.settings[0])
+    cluster.nodes.append(restarted)
+    await cluster.wait_until(
+        lambda: restarted.sidecar.announcement is not None
+    )
+    answers = await asyncio.gather(
+        *(
+            cluster.send_request(request_id=f'r{number}', time_left_ms=500)
+            for number in range(8)
+        )
+    )
+    assert upstream.runs.total() <= (0 if leaving else 1)
+    assert {status for status, _, _ in answers} <= {200, 503}
