Ignore what another upstream at the same address states

After the address of an upstream had gone to another one, the limit or the leaving mark of the new one counted for the old one, and so did its load.

Cause: an answer 421 and a health check under another identity come from another upstream, but only answers to other requests were left out. Now both kinds are left out as well. The other upstream's statements count as soon as it is attached under its own identity.

--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -40,6 +40,12 @@
 # there are more.
 MAX_REFUSED_IDS = 256
 
+# Reasons for which an answer tells nothing about the upstream: it belongs to
+# another request, or another upstream sent it.
+_FOREIGN_REASONS = frozenset(
+    {verdict.Reason.WRONG_ANSWER, verdict.Reason.WRONG_UPSTREAM}
+)
+
 _KEEP_ALIVE = re.compile(r'timeout=(\d+)')
 
 
@@ -225,13 +231,11 @@
             # The health check's own answer may still arrive.
             _current_protocol.get().close()
             return None
-        if health.report is not None:
-            self._on_report(health.report)
-        self._on_notice(
-            self.announcement,
-            upstreams.NoticeSource.HEALTH,
-            self._dialect.notice_headers.read(response.headers),
-        )
+        own_id = self.announcement.upstream_id
+        if not own_id or health.upstream_id in ('', own_id):
+            self._read_statements(
+                upstreams.NoticeSource.HEALTH, health.report, response.headers
+            )
         return health
 
     async def close(self) -> None:
@@ -281,20 +285,23 @@
         result = self._dialect.classify(
             call, answer, response.headers, self.announcement
         )
-        if result.reason is not verdict.Reason.WRONG_ANSWER:
-            self._read_statements(result, response.headers)
+        if result.reason not in _FOREIGN_REASONS:
+            source = upstreams.NoticeSource.ANSWER
+            if result.outcome is verdict.Outcome.NOT_RUN:
+                source = upstreams.NoticeSource.REFUSAL
+            report = self._dialect.read_report(response.headers)
+            self._read_statements(source, report, response.headers)
         return result
 
     def _read_statements(
-        self, result: verdict.Verdict, headers: multidict.MultiMapping[str]
+        self,
+        source: upstreams.NoticeSource,
+        report: upstreams.LoadReport | None,
+        headers: multidict.MultiMapping[str],
     ) -> None:
         """Pass on what the upstream reports and states in an answer."""
-        report = self._dialect.read_report(headers)
         if report is not None:
             self._on_report(report)
-        source = upstreams.NoticeSource.ANSWER
-        if result.outcome is verdict.Outcome.NOT_RUN:
-            source = upstreams.NoticeSource.REFUSAL
         notice = self._dialect.notice_headers.read(headers)
         self._on_notice(self.announcement, source, notice)
 
