Read what an answer states when its head arrives

A limit that an upstream had lowered rose again for a moment: the answer to a request with a slow body counted at the end of that body, after a health check or a shorter answer that had been sent later.

Cause: an answer was classified as a whole. The verdict follows from the head alone in both dialects, so it is now formed when the head arrives, and takes effect once the body is complete. What is stated counts at once, before the ingress node passes the answer on. Ruled out: a stamp with the order of heads, which would have kept a limit that only slow answers name from counting.

--- a/jasminebeam/platform/upstreams.py
+++ b/jasminebeam/platform/upstreams.py
@@ -40,7 +40,7 @@
         headers: dialect.HeaderMap,
         announcement: upstreams.Announcement,
     ) -> verdict.Verdict:
-        """Return the verdict that follows from a complete answer."""
+        """Return the verdict that follows from the head of an answer."""
         # A late second answer to an earlier request may have any status.
         if headers.get(wire.REQUEST_ID) != call.request_id:
             return verdict.may_have_run(verdict.Reason.WRONG_ANSWER)
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextvars
+import dataclasses
 import re
 import socket
 import typing
@@ -256,32 +257,32 @@
             allow_redirects=False,
         ) as response:
             protocol = _current_protocol.get()
+            # An answer states what holds when its head is sent; its body may
+            # take longer than those of later answers.
+            result = self._classify_head(call, response)
             body = await http_client.read_body(
                 response, self._max_answer_bytes
             )
             if _is_truncated(response, protocol):
                 return verdict.may_have_run(verdict.Reason.ANSWER_TRUNCATED)
-            result = self._classify(call, response, body)
             if result.reason is verdict.Reason.WRONG_ANSWER:
                 # The answer to this request may still arrive, so the
                 # connection must not be reused.
                 protocol.close()
             elif result.outcome is verdict.Outcome.NOT_RUN:
                 protocol.on_refused(call.request_id)
-            return result
+            return _with_body(result, body)
 
-    def _classify(
-        self,
-        call: requests.Call,
-        response: aiohttp.ClientResponse,
-        body: bytes,
+    def _classify_head(
+        self, call: requests.Call, response: aiohttp.ClientResponse
     ) -> verdict.Verdict:
+        """Return the verdict that follows once the body is complete."""
         self._update_idle_limit(response)
         headers = tuple(
             (name.decode('latin-1'), value.decode('utf-8', 'replace'))
             for name, value in response.raw_headers
         )
-        answer = requests.Answer(response.status, headers, body)
+        answer = requests.Answer(response.status, headers, b'')
         result = self._dialect.classify(
             call, answer, response.headers, self.announcement
         )
@@ -311,6 +312,12 @@
             self._connector.set_idle_limit(REUSE_RATIO * int(match.group(1)))
 
 
+def _with_body(result: verdict.Verdict, body: bytes) -> verdict.Verdict:
+    if result.answer is None:
+        return result
+    return verdict.answered(dataclasses.replace(result.answer, body=body))
+
+
 def _is_truncated(
     response: aiohttp.ClientResponse,
     protocol: _ResetAwareProtocol | None,
--- a/jasminebeam/upstreams/dialect.py
+++ b/jasminebeam/upstreams/dialect.py
@@ -37,7 +37,10 @@
         headers: HeaderMap,
         announcement: upstreams.Announcement,
     ) -> verdict.Verdict:
-        """Return the verdict that a complete answer implies."""
+        """Return the verdict that an answer implies once it is complete.
+
+        Called when the head has arrived, so the body of `answer` is empty.
+        """
 
     def read_report(self, headers: HeaderMap) -> upstreams.LoadReport | None:
         """Return the load report in an answer's headers, or None."""
--- a/tests/test_upstreams/test_statements.py
+++ b/tests/test_upstreams/test_statements.py
@@ -137,3 +137,17 @@
     assert (await tested.check_health()).upstream_id == 'other'
     assert not statements.notices
     assert not statements.reports
+
+
+async def test_limit_of_an_older_answer_replaced_a_newer_one(
+    upstream, statements, tested
+):
+    """The headers count when they arrive, not at the end of the body."""
+    upstream.body_allowed.clear()
+    running = asyncio.create_task(_run(tested))
+    await upstream.head_sent.wait()
+    await asyncio.sleep(0.05)
+    await tested.check_health()
+    upstream.body_allowed.set()
+    assert (await running).outcome is verdict.Outcome.ANSWERED
+    assert statements.notices == [(ANSWER, 8.0), (HEALTH, 4.0)]
