Forget a rate limit that has ended at ingress nodes without traffic

An ingress node that sent nothing to an upstream while its limit ended went on taking it for limited: it sent no hedges there, and told a sidecar that restarted within ten minutes a limit that no longer held. Found by reading, shown by a test that failed before.

Cause: a sidecar stops sending notices eight seconds after the end, so a node that heard nothing in that time never learned of it. Ruled out: notices that go on for longer, which cost bytes and only move the moment.

A notice precedes each load sample while one applies, so a sample without one shows that none does. The ingress node now takes it so, if the notice that it keeps came from the same process of the sidecar. The first message of a connection carries a sample without a notice; it proves nothing.

--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -337,8 +337,10 @@
     """States the rate limit of an upstream, and whether it leaves.
 
     A sidecar sends this message ahead of its load samples while either
-    applies. An ingress node sends the last one that it has received to a
-    sidecar that has restarted since then, ahead of its first request.
+    applies, except ahead of that of ``Welcome``. Another sample without it
+    shows that neither applies. An ingress node sends the last one that it
+    has received to a sidecar that has restarted since then, ahead of its
+    first request.
 
     Parameters
     ----------
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -81,6 +81,9 @@
     ) -> None:
         """Record what the upstream states about itself."""
 
+    def on_no_notice(self, boot_id: int) -> None:
+        """Record that a process of the sidecar has no notice."""
+
     def notice_for(
         self, boot_id: int, now_ms: float
     ) -> messages.UpstreamNotice | None:
@@ -123,6 +126,8 @@
         self._pings: dict[int, float] = {}
         self._queries: dict[int, _Query] = {}
         self._nonce = 0
+        # True if a notice has arrived since the last load sample.
+        self._has_new_notice = False
         self.last_used_ms = clock()
         self._handlers = {
             messages.Welcome: self._on_welcome,
@@ -135,6 +140,10 @@
             messages.UpstreamNotice: self._on_upstream_notice,
         }
 
+    @property
+    def _boot_id(self) -> int:
+        return self._link.boot_id if self._link is not None else 0
+
     @property
     def busy(self) -> bool:
         """True while attempts are in progress."""
@@ -356,7 +365,7 @@
             self._send_query(nonce, query)
 
     def _on_reply(self, message: messages.Reply) -> None:
-        self._observer.on_sample(message.sample, self._clock())
+        self._on_sample(message.sample)
         attempt = self._pop_attempt(message.session, message.sequence)
         if attempt is None:
             return
@@ -364,7 +373,7 @@
         attempt.resolve(verdict.answered(answer))
 
     def _on_failure(self, message: messages.Failure) -> None:
-        self._observer.on_sample(message.sample, self._clock())
+        self._on_sample(message.sample)
         attempt = self._pop_attempt(message.session, message.sequence)
         if attempt is None:
             return
@@ -387,8 +396,16 @@
             self._counters.revocations.labels('running').inc()
             self._sent[request_id] = attempt
 
+    def _on_sample(self, sample: upstreams.LoadSample) -> None:
+        """Record a sample, which follows a notice if there is one."""
+        if not self._has_new_notice:
+            self._observer.on_no_notice(self._boot_id)
+        self._has_new_notice = False
+        self._observer.on_sample(sample, self._clock())
+
     def _on_upstream_notice(self, message: messages.UpstreamNotice) -> None:
-        self._observer.on_notice(message, self._link.boot_id, self._clock())
+        self._has_new_notice = True
+        self._observer.on_notice(message, self._boot_id, self._clock())
 
     def _send_notice(self, boot_id: int, now_ms: float) -> None:
         """Tell a restarted sidecar what it told before its restart."""
@@ -409,10 +426,10 @@
             self._observer.on_round_trip(self._clock() - sent_ms)
 
     def _on_probe_reply(self, message: messages.ProbeReply) -> None:
-        self._observer.on_sample(message.sample, self._clock())
+        self._on_sample(message.sample)
 
     def _on_admission_reply(self, message: messages.AdmissionReply) -> None:
-        self._observer.on_sample(message.sample, self._clock())
+        self._on_sample(message.sample)
         query = self._queries.get(message.nonce)
         if query is not None and not query.reply.done():
             query.reply.set_result(message)
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -182,6 +182,13 @@
         if state is not None:
             state.on_notice(notice, now_ms)
 
+    def on_no_notice(self, boot_id: int) -> None:
+        """Record that a process of the sidecar has no notice."""
+        self._routes.notices.forget(self._node_id, boot_id)
+        state = self._routes.state(self._node_id)
+        if state is not None:
+            state.clear_notice()
+
     def notice_for(
         self, boot_id: int, now_ms: float
     ) -> messages.UpstreamNotice | None:
--- a/jasminebeam/routing/notices.py
+++ b/jasminebeam/routing/notices.py
@@ -46,6 +46,12 @@
             del self._received[next(iter(self._received))]
         self._received[node_id] = _Received(notice, boot_id, now_ms)
 
+    def forget(self, node_id: str, boot_id: int) -> None:
+        """Remove a notice if that process of the sidecar has sent it."""
+        received = self._received.get(node_id)
+        if received is not None and received.boot_id == boot_id:
+            del self._received[node_id]
+
     def for_restarted(
         self, node_id: str, boot_id: int, now_ms: float
     ) -> messages.UpstreamNotice | None:
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -99,7 +99,7 @@
         """
         if member.incarnation != self.member.incarnation:
             self.ejected_until_ms = 0.0
-            self.limit_per_s = None
+            self.clear_notice()
             self.sample = None
         elif member.phase is not self.member.phase:
             self.sample = None
@@ -121,6 +121,11 @@
         self.limit_per_s = notice.limit_per_s
         self.limited_until_ms = now_ms + notice.wait_us / 1_000
 
+    def clear_notice(self) -> None:
+        """Record that the upstream names no rate limit."""
+        self.limit_per_s = None
+        self.limited_until_ms = 0.0
+
     def has_room(self, now_ms: float) -> bool:
         """Return False while the rate limit is known to be used up."""
         return now_ms >= self.limited_until_ms
--- a/tests/test_ingress/test_rate_limits.py
+++ b/tests/test_ingress/test_rate_limits.py
@@ -141,3 +141,24 @@
     _send_all(cluster, 20)
     assert 'Reply' in sent
     assert 'UpstreamNotice' not in sent
+
+
+def test_ended_limit_stayed_known_at_an_idle_node(fleet):
+    """A load sample without a notice ahead shows that the limit has ended."""
+    _send_all(fleet, 20)
+    server = fleet.servers['limited']
+    state = fleet.routes.state('limited')
+    assert state.limit_per_s == LIMIT_PER_S
+    server.upstream.notice = upstreams.NO_NOTICE
+    fleet.run(4.0)
+    server.upstream.on_notice(
+        upstreams.NoticeSource.ANSWER, upstreams.NO_NOTICE
+    )
+    fleet.run(9.0)
+    _send_all(fleet, 20)
+    assert state.limit_per_s is None
+    now_ms = fleet.loop.now_ms()
+    next_boot_id = server.sidecar.boot_id + 1
+    assert not fleet.routes.notices.for_restarted(
+        'limited', next_boot_id, now_ms
+    )
--- a/tests/test_peering/test_fuzz.py
+++ b/tests/test_peering/test_fuzz.py
@@ -24,6 +24,7 @@
         messages.AdmissionReply(7, 'busy', 10, SAMPLE),
         messages.Reply(1, 2, 200, (('A', 'b'),), b'body', SAMPLE),
         messages.Failure(1, 2, False, 'busy', SAMPLE),
+        messages.UpstreamNotice('u', 7, 8.5, 10, True),
     )
 ]
 
@@ -74,3 +75,9 @@
 
     def on_round_trip(self, round_trip_ms):
         """Ignore a round-trip time."""
+
+    def on_notice(self, notice, boot_id, now_ms):
+        """Ignore a notice."""
+
+    def on_no_notice(self, boot_id):
+        """Ignore that there is no notice."""
