Start waiting requests as soon as an upstream raises its limit

Callers waited for as long as the former limit implied, up to a minute if it was 0, or until their time was over, although the upstream took more again. Found by reading, shown by a test that failed before.

Cause: the task that starts waiting requests slept until the limit of that moment had room, and a changed limit did not wake it. Now each answer of an upstream with a limit does. Without a limit nothing has changed.

--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -275,6 +275,9 @@
         if _is_same_upstream(self.announcement, announcement):
             self._condition.on_notice(source, notice, self._clock())
             self._drain_if_leaving()
+            if self._slots.limit.paced:
+                # Requests that wait for the limit may start earlier now.
+                self._poll_wanted.set()
 
     def adopt_pending_notice(self) -> None:
         """Apply what ingress nodes have told about the attached upstream.
--- a/tests/test_sidecar/test_rate_limit.py
+++ b/tests/test_sidecar/test_rate_limit.py
@@ -146,3 +146,19 @@
         'jasminebeam_upstream_limit_per_s'
     )
     assert limits == LIMIT_PER_S
+
+
+def test_raised_limit_was_used_late(cluster):
+    """Requests that wait for the limit start when it is raised."""
+    server = cluster.add('limited', slots=9)
+    server.upstream.service_s = 0.05
+    server.upstream.notice = upstreams.Notice(1.0)
+    cluster.send(cluster.call())
+    cluster.run(0.2)
+    waiting = cluster.send(cluster.call())
+    cluster.run(0.1)
+    assert not waiting.done()
+    raised = upstreams.Notice(50.0)
+    server.upstream.on_notice(upstreams.NoticeSource.HEALTH, raised)
+    cluster.run(0.2)
+    assert waiting.done()
