Add a fault soak of real processes

bench/soak/ runs six hosts with stand-ins as processes and draws overlapping series of stops, kills, pauses, drains, faults of upstreams, store and network, rate limits, leaving upstreams and changes of the configuration from a seed. Checks are a pure function of what callers and upstreams observed; each has a test that it finds a violation and accepts its absence. The run counter now tells which upstream ran a request, and observations carry their scheduled time, so that a cut connection is excused only by a kill at that time.

Ruled out: an emulation in virtual time, which exists (bench/emulation.py) and shares its process with the code it tests.

The test run plays seed 1 for 20 s. Not covered yet: the adapter to the users' platform, jumping clocks, connections of callers.

--- a/bench/cmd.py
+++ b/bench/cmd.py
@@ -15,6 +15,7 @@
 from bench import emulation
 from bench import experiment
 from bench import report
+from bench.soak import soak
 
 _OUTPUT = flags.DEFINE_string(
     'output', 'build/bench', 'Directory for results.'
@@ -28,9 +29,18 @@
     'seed', 1, 'Random seed of the emulated experiments.'
 )
 
+_MINUTES = flags.DEFINE_float(
+    'minutes', 1.0, 'Time of each seed of the soak in minutes.'
+)
+_SEEDS = flags.DEFINE_integer(
+    'seeds', 1, 'Number of seeds of the soak, from --seed on.'
+)
+
 EXIT_INVALID_RESULT = 1
 EXIT_USAGE = 2
 
+SOAK = 'soak'
+
 
 async def _run_experiment(name: str, plan: experiment.Plan) -> bool:
     directory = pathlib.Path(_OUTPUT.value)
@@ -54,22 +64,38 @@
     return valid
 
 
+def _run_soak() -> bool:
+    """Run the seeds of the soak; return False after a violation."""
+    kept = True
+    for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
+        directory = pathlib.Path(_OUTPUT.value) / f'soak-{seed}'
+        created = soak.Soak(seed, _MINUTES.value * 60, directory)
+        result = uvloop.run(created.run())
+        print('\n'.join(soak.lines(result)), flush=True)
+        kept = kept and not result.findings
+    return kept
+
+
 def main(arguments: typing.Sequence[str]) -> int:
-    """Run the named experiments.
+    """Run the named experiments, or the soak.
 
     Returns
     -------
     int
         0 if all results are valid, 1 if a result is invalid because the
-        load generator lagged behind its schedule, or 2 if an experiment
+        load generator lagged behind its schedule or if the soak found a
+        violation, or 2 if an experiment
         is unknown or its file is invalid.
     """
-    experiment_names = [*experiment.names(), *emulation.PLANS]
+    experiment_names = [*experiment.names(), *emulation.PLANS, SOAK]
     if _LIST.value or len(arguments) < 2:
         print('\n'.join(experiment_names))
         return 0
     valid = True
     for name in arguments[1:]:
+        if name == SOAK:
+            valid = _run_soak() and valid
+            continue
         if name in emulation.PLANS:
             print(emulation.compare(name, _SEED.value))
             continue
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -81,6 +81,8 @@
     """Counts the runs that the stand-in upstreams report."""
 
     def __init__(self) -> None:
+        # Receives the service, the port and the id of each run.
+        self.on_run: typing.Callable[[str, int, str], None] | None = None
         self.runs: collections.Counter[str] = collections.Counter()
         self._runs_by_service: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -88,7 +90,9 @@
 
     def datagram_received(self, data: bytes, address: object) -> None:
         """Count one run."""
-        service, _, request_id = data.decode().partition(' ')
+        service, port, request_id = data.decode().split(' ', 2)
+        if self.on_run is not None:
+            self.on_run(service, int(port), request_id)
         self.runs[request_id] += 1
         self._runs_by_service[service, request_id] += 1
 
@@ -143,6 +147,15 @@
         await self._start_node(host)
         await self._start_upstream(host)
 
+    async def restart_node(self, host: Host) -> None:
+        """Start the node of a host again once its process has ended."""
+        await self._processes[f'node-{host.node_id}'].wait()
+        await self._start_node(host)
+
+    def signal_node(self, host: Host, signal_number: signal.Signals) -> None:
+        """Send a signal to a host's node, but not to its upstream."""
+        self._send_signal(f'node-{host.node_id}', signal_number)
+
     async def create_services(
         self, service_fields: typing.Mapping[str, typing.Any] | None = None
     ) -> None:
@@ -302,7 +315,8 @@
         )
 
     async def _spawn(self, name: str, *command: str) -> None:
-        log = (self.options.directory / f'{name}.log').open('wb')
+        mode = 'ab' if name in self._processes else 'wb'
+        log = (self.options.directory / f'{name}.log').open(mode)
         self._logs.append(log)
         self._processes[name] = await asyncio.create_subprocess_exec(
             *command, stdout=log, stderr=log
--- a/bench/guarantees.py
+++ b/bench/guarantees.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing
 
 if typing.TYPE_CHECKING:
-    import collections
-
     from bench import traffic
 
 
@@ -55,23 +54,41 @@
         Caller ports of the nodes that were killed. A connection that
         breaks there violates no guarantee.
     """
-    ran_twice = 0
-    false_not_run = 0
-    cut_by_planned_stop = 0
-    wrong_answers = 0
+    counts = collections.Counter(
+        guarantee
+        for guarantee, _ in violations(
+            observations,
+            runs,
+            lambda observation: observation.caller_port in killed_ports,
+        )
+    )
+    return Violations(**{name: counts[name] for name in _GUARANTEES})
+
+
+def violations(
+    observations: typing.Iterable[traffic.Observation],
+    runs: collections.Counter[str],
+    was_killed: typing.Callable[[traffic.Observation], bool],
+) -> typing.Iterator[tuple[str, traffic.Observation]]:
+    """Yield each violation: the name of its count, and the request.
+
+    Parameters
+    ----------
+    observations, runs
+        See `check`.
+    was_killed : callable
+        Returns True if the node of a request was killed meanwhile.
+    """
     for observation in observations:
         run_count = runs[observation.request_id]
         if not observation.stream.idempotent and run_count > 1:
-            ran_twice += 1
+            yield 'ran_twice', observation
         if observation.outcome == 'not-run' and run_count:
-            false_not_run += 1
-        if (
-            observation.outcome == 'cut'
-            and observation.caller_port not in killed_ports
-        ):
-            cut_by_planned_stop += 1
+            yield 'false_not_run', observation
+        if observation.outcome == 'cut' and not was_killed(observation):
+            yield 'cut_by_planned_stop', observation
         if not observation.answer_matches:
-            wrong_answers += 1
-    return Violations(
-        ran_twice, false_not_run, cut_by_planned_stop, wrong_answers
-    )
+            yield 'wrong_answers', observation
+
+
+_GUARANTEES = tuple(field.name for field in dataclasses.fields(Violations))
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of real processes on loopback."""
--- /dev/null
+++ b/bench/soak/actions.py
@@ -0,0 +1,283 @@
+"""Applies the events of a schedule to a fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import time
+import typing
+
+import aiohttp
+import grpclib
+from grpclib import client as grpc_client
+
+from bench.soak import checks
+from bench.soak import schedule
+from bench.standins import network
+from bench.standins import store
+from bench.standins import upstream
+from jasminebeam.operators.generated import operators_grpc
+from jasminebeam.operators.generated import operators_pb2
+
+if typing.TYPE_CHECKING:
+    from bench import fleet as fleet_module
+
+# Time between the end of a node and its next start.
+RESTART_DELAY_S = 0.3
+OPERATOR_TIMEOUT_S = 3.0
+SLOW_FACTOR = 8.0
+STORE_DELAY_MS = 1_500.0
+LOST_WRITE_ANSWERS = 3
+
+_UPSTREAM_FAULTS: dict[schedule.Kind, dict[str, typing.Any]] = {
+    schedule.Kind.SLOW_UPSTREAM: {'slow_factor': SLOW_FACTOR},
+    schedule.Kind.FAILING_UPSTREAM: {'fail_fast': True},
+    schedule.Kind.CLOSING_UPSTREAM: {'close_after_receipt': True},
+    schedule.Kind.SHEDDING_UPSTREAM: {'shed': True},
+}
+_STORE_FAULTS = {
+    schedule.Kind.STORE_DOWN: store.Faults(down=True),
+    schedule.Kind.STORE_SLOW: store.Faults(delay_ms=STORE_DELAY_MS),
+    schedule.Kind.STORE_LOSES_ANSWERS: store.Faults(
+        lose_write_answers=LOST_WRITE_ANSWERS
+    ),
+}
+_NETWORK_FAULTS: dict[schedule.Kind, dict[str, typing.Any]] = {
+    schedule.Kind.NETWORK_SLOW: {'delay_factor': SLOW_FACTOR},
+    schedule.Kind.NETWORK_LOSSY: {'loss_ratio': 0.1},
+    schedule.Kind.NETWORK_SILENT: {'silent': True},
+    schedule.Kind.NETWORK_CUT: {'silent': True, 'cut': True},
+}
+
+
+class Actions:
+    """Faults and planned work that are in progress.
+
+    Events of one kind may overlap at a host: the later one then does nothing.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The processes.
+    history : History
+        Receives what callers and upstreams must not suffer from.
+    started_s : float
+        Value of the performance counter at the start of the traffic.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_module.Fleet,
+        history: checks.History,
+        started_s: float,
+    ) -> None:
+        self._fleet = fleet
+        self._history = history
+        self._started_s = started_s
+        self._upstream_faults: dict[int, dict[str, typing.Any]] = {
+            host.index: {} for host in fleet.hosts
+        }
+        # Hosts whose node is stopped, killed or paused.
+        self._busy_nodes: set[int] = set()
+        # Hosts whose upstream is drained or leaves.
+        self._unused_upstreams: set[int] = set()
+        self._store_busy = False
+        self._network_busy = False
+        self.gone_nodes: set[int] = set()
+
+    def now_s(self) -> float:
+        """Return the time since the start of the traffic."""
+        return time.perf_counter() - self._started_s
+
+    async def apply(self, event: schedule.Event) -> None:
+        """Carry out an event from its beginning to its end."""
+        host = self._fleet.hosts[event.host]
+        if event.kind in _UPSTREAM_FAULTS:
+            faults = _UPSTREAM_FAULTS[event.kind]
+            await self._with_upstream_faults(host, faults, event.for_s)
+        elif event.kind in _STORE_FAULTS:
+            await self._with_store_faults(event)
+        elif event.kind in _NETWORK_FAULTS:
+            await self._with_network_faults(event, host)
+        else:
+            await self._handlers[event.kind](self, event, host)
+
+    async def _stop_node(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        if host.index in self._busy_nodes:
+            return
+        self._busy_nodes.add(host.index)
+        await self._fleet.stop_node(host)
+        await self._start_again(host)
+
+    async def _kill_node(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        if host.index in self._busy_nodes:
+            return
+        self._busy_nodes.add(host.index)
+        self._history.kills.append((host.caller_port, self.now_s()))
+        self._fleet.signal_node(host, signal.SIGKILL)
+        await self._start_again(host)
+
+    async def _start_again(self, host: fleet_module.Host) -> None:
+        self.gone_nodes.add(host.index)
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self._fleet.restart_node(host)
+        if host.index not in self._unused_upstreams:
+            await self._fleet.announce(host)
+        self.gone_nodes.discard(host.index)
+        self._busy_nodes.discard(host.index)
+
+    async def _pause_node(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        if host.index in self._busy_nodes:
+            return
+        self._busy_nodes.add(host.index)
+        self._fleet.signal_node(host, signal.SIGSTOP)
+        await asyncio.sleep(event.for_s)
+        self._fleet.signal_node(host, signal.SIGCONT)
+        self._busy_nodes.discard(host.index)
+
+    async def _drain(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        if self._is_unavailable(host):
+            return
+        self._unused_upstreams.add(host.index)
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            await self._fleet.drain(host)
+            start_s = self.now_s()
+            await asyncio.sleep(event.for_s)
+            self._record(self._history.drains, host, start_s)
+        await self._use_again(host)
+
+    async def _leave(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        if self._is_unavailable(host):
+            return
+        self._unused_upstreams.add(host.index)
+        start_s = self.now_s()
+        await self._with_upstream_faults(host, {'leaving': True}, event.for_s)
+        self._record(self._history.leaving, host, start_s)
+        await self._use_again(host)
+
+    async def _use_again(self, host: fleet_module.Host) -> None:
+        await self._fleet.announce(host)
+        self._unused_upstreams.discard(host.index)
+
+    def _is_unavailable(self, host: fleet_module.Host) -> bool:
+        return (
+            host.index in self._unused_upstreams
+            or host.index in self._busy_nodes
+        )
+
+    async def _limit(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        start_s = self.now_s()
+        faults = {'limit_per_s': event.limit_per_s}
+        if await self._with_upstream_faults(host, faults, event.for_s):
+            self._record(
+                self._history.limits, host, start_s, event.limit_per_s
+            )
+
+    def _record(
+        self,
+        periods: list[checks.Period],
+        host: fleet_module.Host,
+        start_s: float,
+        limit_per_s: float = 0.0,
+    ) -> None:
+        period = checks.Period(
+            host.upstream_port, start_s, self.now_s(), limit_per_s
+        )
+        periods.append(period)
+
+    async def _with_upstream_faults(
+        self,
+        host: fleet_module.Host,
+        faults: dict[str, typing.Any],
+        for_s: float,
+    ) -> bool:
+        active = self._upstream_faults[host.index]
+        if faults.keys() & active.keys():
+            return False
+        active.update(faults)
+        await self._set_upstream_faults(host)
+        await asyncio.sleep(for_s)
+        for name in faults:
+            del active[name]
+        await self._set_upstream_faults(host)
+        return True
+
+    async def _set_upstream_faults(self, host: fleet_module.Host) -> None:
+        active = self._upstream_faults[host.index]
+        await self._fleet.set_upstream_faults(host, upstream.Faults(**active))
+
+    async def _with_store_faults(self, event: schedule.Event) -> None:
+        if self._store_busy:
+            return
+        self._store_busy = True
+        await self._fleet.set_store_faults(_STORE_FAULTS[event.kind])
+        await asyncio.sleep(event.for_s)
+        await self._fleet.set_store_faults(store.Faults())
+        self._store_busy = False
+
+    async def _with_network_faults(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        if self._network_busy:
+            return
+        self._network_busy = True
+        faults = network.Faults(
+            host.failure_domain, **_NETWORK_FAULTS[event.kind]
+        )
+        await self._fleet.set_network_faults(faults)
+        await asyncio.sleep(event.for_s)
+        await self._fleet.set_network_faults(network.NO_FAULTS)
+        self._network_busy = False
+
+    async def _change_configuration(
+        self, event: schedule.Event, host: fleet_module.Host
+    ) -> None:
+        """Update one service; the store or another change may prevent it."""
+        channel = grpc_client.Channel(host.address, host.operator_port)
+        stub = operators_grpc.OperatorsStub(channel)
+        name = self._fleet.site.services[0].name
+        try:
+            async with asyncio.timeout(OPERATOR_TIMEOUT_S):
+                current = await stub.GetService(
+                    operators_pb2.GetServiceRequest(name=name)
+                )
+                current.service.timeout_ms += 1
+                await stub.UpdateService(
+                    operators_pb2.UpdateServiceRequest(
+                        service=current.service,
+                        expected_revision=current.revision,
+                        change_id=f'soak-{event.at_s}',
+                    )
+                )
+        except (grpclib.GRPCError, OSError, TimeoutError):
+            self._history.failed_changes += 1
+        finally:
+            channel.close()
+
+    _handlers: typing.ClassVar[
+        dict[
+            schedule.Kind,
+            typing.Callable[..., typing.Coroutine[None, None, None]],
+        ]
+    ] = {
+        schedule.Kind.STOP_NODE: _stop_node,
+        schedule.Kind.KILL_NODE: _kill_node,
+        schedule.Kind.PAUSE_NODE: _pause_node,
+        schedule.Kind.DRAIN: _drain,
+        schedule.Kind.LEAVING_UPSTREAM: _leave,
+        schedule.Kind.LIMITED_UPSTREAM: _limit,
+        schedule.Kind.CONFIGURATION: _change_configuration,
+    }
--- /dev/null
+++ b/bench/soak/schedule.py
@@ -0,0 +1,122 @@
+"""Seeded schedules of faults and planned work."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+
+# Mean time between two series of events.
+MEAN_GAP_S = 1.2
+# Greatest time between two events of one series.
+MAX_SERIES_GAP_S = 0.6
+MAX_SERIES_LENGTH = 4
+# Share of the series with more than one event.
+SERIES_RATIO = 0.4
+MIN_LENGTH_S = 0.3
+MAX_LENGTH_S = 4.0
+# Limits that upstreams name.
+MIN_LIMIT_PER_S = 0.5
+MAX_LIMIT_PER_S = 12.0
+
+
+class Kind(enum.Enum):
+    """Kind of an event."""
+
+    STOP_NODE = 'stop-node'
+    KILL_NODE = 'kill-node'
+    PAUSE_NODE = 'pause-node'
+    DRAIN = 'drain'
+    SLOW_UPSTREAM = 'slow-upstream'
+    FAILING_UPSTREAM = 'failing-upstream'
+    CLOSING_UPSTREAM = 'closing-upstream'
+    SHEDDING_UPSTREAM = 'shedding-upstream'
+    LIMITED_UPSTREAM = 'limited-upstream'
+    LEAVING_UPSTREAM = 'leaving-upstream'
+    STORE_DOWN = 'store-down'
+    STORE_SLOW = 'store-slow'
+    STORE_LOSES_ANSWERS = 'store-loses-answers'
+    NETWORK_SLOW = 'network-slow'
+    NETWORK_LOSSY = 'network-lossy'
+    NETWORK_SILENT = 'network-silent'
+    NETWORK_CUT = 'network-cut'
+    CONFIGURATION = 'configuration'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One fault, or one piece of planned work.
+
+    Parameters
+    ----------
+    at_s : float
+        Time since the start of the traffic.
+    kind : Kind
+        What happens.
+    host : int
+        Index of the host. For faults of the network it selects the failure
+        domain.
+    for_s : float
+        Duration; ignored by kinds that have none.
+    limit_per_s : float
+        Rate limit that a limited upstream names.
+    """
+
+    at_s: float
+    kind: Kind
+    host: int
+    for_s: float
+    limit_per_s: float
+
+
+def create(seed: int, duration_s: float, host_count: int) -> tuple[Event, ...]:
+    """Return the events of a seed in order; series may overlap.
+
+    Parameters
+    ----------
+    seed : int
+        Determines the whole schedule.
+    duration_s : float
+        Time within which all events begin and end.
+    host_count : int
+        Number of hosts.
+
+    Examples
+    --------
+    >>> create(1, 20.0, 6) == create(1, 20.0, 6)
+    True
+    """
+    generator = random.Random(seed)
+    events: list[Event] = []
+    at_s = generator.expovariate(1 / MEAN_GAP_S)
+    while at_s < duration_s:
+        events += _create_series(generator, at_s, duration_s, host_count)
+        at_s += generator.expovariate(1 / MEAN_GAP_S)
+    return tuple(sorted(events, key=lambda event: event.at_s))
+
+
+def _create_series(
+    generator: random.Random, at_s: float, duration_s: float, host_count: int
+) -> list[Event]:
+    """Return events of one kind at successive hosts."""
+    kind = generator.choice(list(Kind))
+    length = 1
+    if generator.random() < SERIES_RATIO:
+        length = generator.randint(2, MAX_SERIES_LENGTH)
+    host = generator.randrange(host_count)
+    events = []
+    for offset in range(length):
+        for_s = generator.uniform(MIN_LENGTH_S, MAX_LENGTH_S)
+        limit_per_s = generator.uniform(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S)
+        event = Event(
+            at_s,
+            kind,
+            (host + offset) % host_count,
+            min(for_s, duration_s - at_s),
+            round(limit_per_s, 2),
+        )
+        events.append(event)
+        at_s += generator.uniform(0.0, MAX_SERIES_GAP_S)
+        if at_s >= duration_s:
+            break
+    return events
--- /dev/null
+++ b/bench/soak/soak.py
@@ -0,0 +1,185 @@
+"""Runs one seed of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import time
+import typing
+
+import aiohttp
+
+from bench import fleet
+from bench import scrape
+from bench import sites
+from bench.soak import actions
+from bench.soak import checks
+from bench.soak import schedule
+from bench import traffic
+from jasminebeam.model import services
+
+FIRST_PORT = 23_000
+SITE = sites.Site(
+    name='soak',
+    region='nordeste-ce',
+    failure_domains=('ce-a', 'ce-b', 'ce-c'),
+    one_way_ms=3.5,
+    caller_one_way_ms=8.0,
+    services=(
+        sites.SiteService('catalogo', 3, sites.READ_ONLY, 15.0),
+        sites.SiteService('cobranca', 3, (), 25.0),
+    ),
+)
+STREAMS = (
+    traffic.Stream('browse', 'catalogo', 'GET', '/sessions', 60.0, True),
+    traffic.Stream('fee', 'cobranca', 'POST', '/fees', 30.0, False),
+)
+# All faults have ended for this time when the service is checked.
+RECOVERY_S = 15.0
+RECOVERY_CHECK_S = 3.0
+REVISION_POLL_S = 0.5
+METRICS_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Result of one seed.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the schedule and of the traffic.
+    events : tuple of Event
+        The schedule.
+    outcomes : dict
+        Number of requests by outcome.
+    findings : list of Finding
+        Guarantees that did not hold.
+    """
+
+    seed: int
+    events: tuple[schedule.Event, ...]
+    outcomes: dict[str, int]
+    findings: list[checks.Finding]
+
+
+class Soak:
+    """One fleet under traffic and a schedule of faults.
+
+    Parameters
+    ----------
+    seed : int
+        Determines schedule, traffic and service times.
+    duration_s : float
+        Time within which faults begin and end.
+    directory : pathlib.Path
+        Directory for settings and logs.
+    """
+
+    def __init__(
+        self, seed: int, duration_s: float, directory: pathlib.Path
+    ) -> None:
+        self._seed = seed
+        self._duration_s = duration_s
+        self._generator = random.Random(seed)
+        options = fleet.Options(
+            first_port=FIRST_PORT,
+            directory=directory,
+            with_network=True,
+            seed=seed,
+        )
+        self._fleet = fleet.Fleet(SITE, options)
+        self._history = checks.History()
+        self._events = schedule.create(
+            seed, duration_s, len(self._fleet.hosts)
+        )
+        self._actions: actions.Actions | None = None
+
+    async def run(self) -> Report:
+        """Run the seed and return its report."""
+        try:
+            await self._fleet.start()
+            await self._fleet.create_services()
+            await self._fleet.wait_for_members()
+            return await self._run_started()
+        finally:
+            await self._fleet.stop()
+
+    async def _run_started(self) -> Report:
+        self._actions = actions.Actions(
+            self._fleet, self._history, time.perf_counter()
+        )
+        self._fleet.run_counter.on_run = self._record_run
+        polling = asyncio.create_task(self._poll_revisions())
+        events = asyncio.create_task(self._apply_events())
+        recorder = await self._send(self._duration_s, 'soak')
+        await events
+        await asyncio.sleep(RECOVERY_S)
+        afterwards = await self._send(RECOVERY_CHECK_S, 'after')
+        polling.cancel()
+        service = services.Service('any')
+        findings = checks.check(
+            recorder.observations,
+            self._history,
+            service.retry_ratio + service.hedge_ratio,
+        )
+        findings += checks.check_recovery(afterwards.observations)
+        return Report(
+            self._seed, self._events, dict(recorder.outcomes()), findings
+        )
+
+    async def _send(self, duration_s: float, prefix: str) -> traffic.Recorder:
+        return await traffic.run(
+            STREAMS, self._choose_ingress, duration_s, self._seed, prefix
+        )
+
+    def _choose_ingress(self) -> traffic.IngressAddress:
+        """Return a node that has not ended; it may be stopping or paused."""
+        gone = self._actions.gone_nodes
+        present = [
+            host for host in self._fleet.hosts if host.index not in gone
+        ]
+        host = self._generator.choice(present or self._fleet.hosts)
+        return traffic.IngressAddress(host.address, host.caller_port)
+
+    def _record_run(self, service: str, port: int, request_id: str) -> None:
+        run = checks.Run(self._actions.now_s(), service, port, request_id)
+        self._history.runs.append(run)
+
+    async def _apply_events(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            for event in self._events:
+                await asyncio.sleep(
+                    max(0.0, event.at_s - self._actions.now_s())
+                )
+                group.create_task(self._actions.apply(event))
+
+    async def _poll_revisions(self) -> None:
+        while True:
+            await asyncio.gather(
+                *(self._read_revision(host) for host in self._fleet.hosts)
+            )
+            await asyncio.sleep(REVISION_POLL_S)
+
+    async def _read_revision(self, host: fleet.Host) -> None:
+        process_id = self._fleet.process_id(host)
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(METRICS_TIMEOUT_S):
+                text = await self._fleet.metrics(host)
+            if self._fleet.process_id(host) != process_id:
+                return
+            revision = scrape.total([text], 'jasminebeam_config_revision')
+            self._history.revisions.append(
+                checks.Revision(process_id, int(revision))
+            )
+
+
+def lines(report: Report) -> typing.Iterator[str]:
+    """Yield the lines of a report."""
+    yield f'seed {report.seed}: {len(report.events)} events'
+    yield f'  outcomes {report.outcomes}'
+    for finding in report.findings:
+        yield f'  VIOLATED {finding.guarantee}: {finding.detail}'
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -35,8 +35,8 @@
     seed : int
         Seed of the service times.
     witness_port : int
-        Loopback UDP port of the run counter, which receives the service
-        and id of each request that runs; 0 for none.
+        Loopback UDP port of the run counter, which receives the service,
+        the port and the id of each request that runs; 0 for none.
     next_url, next_host : str
         URL and ``Host`` header of the service that each request calls
         after it has run; an empty URL for none.
@@ -208,7 +208,8 @@
         self.runs[request_id] += 1
         if self._options.witness_port:
             address = ('127.0.0.1', self._options.witness_port)
-            datagram = f'{self._options.service} {request_id}'
+            options = self._options
+            datagram = f'{options.service} {options.port} {request_id}'
             self._run_report_socket.sendto(datagram.encode(), address)
 
     async def _call_next(
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -78,6 +78,8 @@
         Time since the scheduled arrival in microseconds.
     caller_port : int
         Port of the node that was called.
+    due_s : float
+        Scheduled arrival, in seconds since the start of the traffic.
     """
 
     request_id: str
@@ -88,6 +90,7 @@
     answer_matches: bool
     latency_us: int
     caller_port: int
+    due_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,7 +176,13 @@
                 reported_s = at_s
             request_id = f'{prefix}-{stream.name}-{number}'
             coroutine = _send(
-                session, recorder, stream, request_id, choose_ingress(), due_s
+                session,
+                recorder,
+                stream,
+                request_id,
+                choose_ingress(),
+                due_s,
+                at_s,
             )
             task = asyncio.create_task(coroutine)
             tasks.add(task)
@@ -207,6 +216,7 @@
     request_id: str,
     ingress: IngressAddress,
     due_s: float,
+    at_s: float,
 ) -> None:
     lag_us = int((time.perf_counter() - due_s) * 1e6)
     recorder.lag_us.record_value(max(1, lag_us))
@@ -241,5 +251,6 @@
             answer_matches,
             latency_us,
             ingress.port,
+            at_s,
         )
     )
--- /dev/null
+++ b/tests/test_bench/test_soak.py
@@ -0,0 +1,141 @@
+"""Tests of the soak's schedules and checks, and one short seeded run."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from bench.soak import checks
+from bench.soak import schedule
+from bench.soak import soak
+from bench import traffic
+
+SEED = 1
+DURATION_S = 20.0
+PORT = 7
+FEES = traffic.Stream('fee', 'cobranca', 'POST', '/fees', 1.0, False)
+BROWSE = traffic.Stream('browse', 'catalogo', 'GET', '/', 1.0, True)
+LIMITED = checks.Period(PORT, 10.0, 30.0, 1.0)
+
+
+def _observation(request_id, outcome='answered', stream=FEES, **fields):
+    observation = traffic.Observation(
+        request_id, stream, outcome, '', 200, True, 10_000, 80, 5.0
+    )
+    return dataclasses.replace(observation, **fields)
+
+
+def _runs(instants_s, service='cobranca'):
+    return [
+        checks.Run(at_s, service, PORT, f'r{index}')
+        for index, at_s in enumerate(instants_s)
+    ]
+
+
+def _guarantees(observations, history, extra_ratio=0.2):
+    found = checks.check(observations, history, extra_ratio)
+    return {finding.guarantee for finding in found}
+
+
+def test_schedules_fit_their_duration_and_have_all_kinds():
+    """Events begin and end in time, and no kind is left out for good."""
+    kinds = set()
+    for seed in range(20):
+        events = schedule.create(seed, 30.0, 6)
+        kinds |= {event.kind for event in events}
+        assert all(0 <= event.at_s < 30.0 for event in events)
+        assert all(event.at_s + event.for_s <= 30.0 for event in events)
+        assert list(events) == sorted(events, key=lambda event: event.at_s)
+    assert kinds == set(schedule.Kind)
+
+
+@pytest.mark.parametrize(
+    ('guarantee', 'observation', 'run_count'),
+    [
+        ('ran_twice', _observation('r0'), 2),
+        ('false_not_run', _observation('r0', 'not-run'), 1),
+        ('cut_by_planned_stop', _observation('r0', traffic.CUT), 1),
+        ('wrong_answers', _observation('r0', answer_matches=False), 1),
+    ],
+)
+def test_violations_seen_by_callers_are_found(
+    guarantee, observation, run_count
+):
+    """Each of them must be a finding, and a kept guarantee must not."""
+    run = checks.Run(5.0, 'cobranca', PORT, 'r0')
+    violated = checks.History(runs=[run] * run_count)
+    assert _guarantees([observation], violated) == {guarantee}
+    kept = checks.History(runs=[run])
+    assert not _guarantees([_observation('r0')], kept)
+
+
+def test_cut_is_excused_only_by_a_kill_meanwhile():
+    """A kill of another node, or at another time, excuses nothing."""
+    cut = _observation('r0', traffic.CUT, latency_us=2_000_000)
+    for kill, excused in (
+        ((80, 6.0), True),
+        ((81, 6.0), False),
+        ((80, 3.0), False),
+        ((80, 9.0), False),
+    ):
+        history = checks.History(kills=[kill])
+        assert bool(_guarantees([cut], history)) is not excused
+
+
+def test_run_at_a_drained_upstream_is_found():
+    """Only requests that were being sent when it was acknowledged may run."""
+    drained = [checks.Period(PORT, 10.0, 12.0)]
+    for at_s, found in ((10.4, False), (10.6, True), (12.1, False)):
+        history = checks.History(runs=_runs([at_s]), drains=drained)
+        assert bool(_guarantees([], history)) is found
+
+
+def test_run_at_a_leaving_upstream_is_found():
+    """The first request in that state makes the upstream's state known."""
+    leaving = [checks.Period(PORT, 10.0, 20.0)]
+    for last_s, found in ((14.9, False), (15.1, True)):
+        history = checks.History(runs=_runs([13.0, last_s]), leaving=leaving)
+        assert bool(_guarantees([], history)) is found
+
+
+@pytest.mark.parametrize(('count', 'found'), [(11, False), (12, True)])
+def test_exceeded_limit_is_found(count, found):
+    """The limit binds three seconds after it was first named."""
+    before = [10.0 + 0.1 * index for index in range(20)]
+    after = [20.0 + 0.1 * index for index in range(count)]
+    history = checks.History(runs=_runs(before + after), limits=[LIMITED])
+    assert _guarantees([], history) == ({'limit'} if found else set())
+
+
+def test_too_many_further_runs_are_found():
+    """The budget counts runs beyond the first of each request."""
+    sent = [_observation(f'r{index}', stream=BROWSE) for index in range(100)]
+    runs = _runs([1.0] * 100, 'catalogo')
+    for extra, found in ((84, False), (85, True)):
+        history = checks.History(runs=runs + runs[:1] * extra)
+        assert bool(_guarantees(sent, history)) is found
+
+
+def test_older_configuration_is_found():
+    """Only another process may have a lower revision."""
+    readings = [checks.Revision(1, 5), checks.Revision(2, 4)]
+    history = checks.History(revisions=readings)
+    assert not _guarantees([], history)
+    readings.append(checks.Revision(1, 4))
+    assert _guarantees([], history) == {'configuration'}
+
+
+def test_missing_recovery_is_found():
+    """Nineteen of twenty requests must be answered."""
+    sent = [_observation('a')] * 19 + [_observation('b', 'not-run')]
+    assert not checks.check_recovery(sent)
+    assert checks.check_recovery([*sent, _observation('c', 'not-run')])
+
+
+async def test_seeded_soak_finds_no_violation(tmp_path):
+    """Real processes keep the guarantees under the faults of a seed."""
+    report = await soak.Soak(SEED, DURATION_S, tmp_path).run()
+    assert report.events
+    assert report.outcomes['answered']
+    assert not report.findings, report.findings
