Give up answers that their caller does not read

A caller that requested large answers and read nothing kept one of up to a mebibyte in the node's memory for as long as its connection lived.

Cause: time limits covered what callers send, not what they read. Ruled out: a limit on the whole time of an answer, which would cut slow readers; and the first megabytes of a connection, which the operating system buffers and which cost the node nothing.

While more than 64 KiB wait, progress is now checked twice within the idle timeout. Without any at two checks in a row the connection is aborted, counted and logged (event 708). One check alone would blame a caller for a pause of this process. A pause within the idle timeout cuts nothing, by a second test. Not limited: the sum over all connections within one idle timeout.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -35,6 +35,7 @@
         self.slowness_percent = 100
         self.healthy = True
         self.behaviour = ''
+        self.body = b'whole'
         # Value of the header that names a rate limit; empty for none.
         self.limit = ''
         self.leaving = False
@@ -160,4 +161,4 @@
             return web.Response(status=503, headers=headers)
         if self.behaviour != 'unsigned':
             headers['Server-Stamp'] = f'stamp-{self.upstream_id}'
-        return web.Response(body=b'whole', headers=headers)
+        return web.Response(body=self.body, headers=headers)
--- a/jasminebeam/callers/connections.py
+++ b/jasminebeam/callers/connections.py
@@ -21,6 +21,10 @@
 # a little before the server closes it.
 IDLE_MARGIN_S = 1.0
 
+# An answer is given up if the caller reads none of it between this number of
+# checks within the idle timeout. A process that was paused itself finds no
+# progress at the first of them.
+UNREAD_CHECKS = 2
 
 # Bytes of a request besides its header and body, such as chunk extensions.
 FRAMING_BYTES = 64 * 1024
@@ -56,6 +60,9 @@
     def on_error(self, status: int, error: BaseException | None) -> None:
         """Record a malformed request or a failed handler."""
 
+    def on_unread(self, unread_bytes: int) -> None:
+        """Record an answer that the caller does not read."""
+
 
 class LimitedConnection(web_protocol.RequestHandler):
     """Limits time and bytes of requests; processes pipelined requests.
@@ -92,6 +99,7 @@
         # Body of the last message that arrived.
         self._last_payload = streams.EMPTY_PAYLOAD
         self._message_bytes = 0
+        self._unread_timer: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
         """Parse data; limit the time and the size of an incomplete message."""
@@ -131,9 +139,20 @@
             response.force_close()
         return response
 
+    def pause_writing(self) -> None:
+        """Check from now on whether the caller reads its answer."""
+        super().pause_writing()
+        self._check_unread_later(self.transport.get_write_buffer_size(), 0)
+
+    def resume_writing(self) -> None:
+        """Stop the checks: the caller has read most of its answer."""
+        self._stop_unread_timer()
+        super().resume_writing()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Stop the timer and the requests when the connection ends."""
+        """Stop the timers and the requests when the connection ends."""
         self._stop_header_timer()
+        self._stop_unread_timer()
         self._pipeline.cancel()
         super().connection_lost(exc)
 
@@ -209,6 +228,31 @@
         )
         super()._process_keepalive()
 
+    def _check_unread_later(self, unread_bytes: int, unchanged: int) -> None:
+        interval_s = self._processor.limits.idle_timeout_ms / 1_000
+        self._unread_timer = self._loop.call_later(
+            interval_s / UNREAD_CHECKS,
+            self._check_unread,
+            unread_bytes,
+            unchanged,
+        )
+
+    def _check_unread(self, before_bytes: int, unchanged: int) -> None:
+        """Abort the connection if the caller has stopped reading."""
+        unread_bytes = self.transport.get_write_buffer_size()
+        unchanged = unchanged + 1 if unread_bytes == before_bytes else 0
+        if unchanged < UNREAD_CHECKS:
+            self._check_unread_later(unread_bytes, unchanged)
+            return
+        self._unread_timer = None
+        self._processor.on_unread(unread_bytes)
+        self.transport.abort()
+
+    def _stop_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -155,6 +155,11 @@
             event = events.Event.REQUEST_FAILED
         self._log.write(event, status=int(status), error=repr(error))
 
+    def on_unread(self, unread_bytes: int) -> None:
+        """Record an answer that the caller does not read."""
+        self._counters.caller_errors.labels('unread').inc()
+        self._log.write(events.Event.ANSWER_UNREAD, unread_bytes=unread_bytes)
+
     async def respond(
         self, request: web.BaseRequest, arrived_ms: float
     ) -> web.StreamResponse:
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -109,6 +109,9 @@
     REQUEST_FAILED = EventKind(
         707, logbook.ERROR, 'unexpected error while processing a request'
     )
+    ANSWER_UNREAD = EventKind(
+        708, logbook.WARNING, 'connection closed: caller reads no answer'
+    )
     REQUEST_REFUSED = EventKind(
         710, logbook.INFO, 'request ended without running'
     )
