Let the soak hold what a check needs to see

A stalled network is new: it holds the data of open connections and delivers it later, which a revoked request must survive; a silent one never delivers. Revisions are read per service, because the gauge of the highest one cannot fall. SIGTERM ends the processes that a run has started.

--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -48,6 +48,7 @@
     schedule.Kind.NETWORK_LOSSY: {'loss_ratio': 0.1},
     schedule.Kind.NETWORK_SILENT: {'silent': True},
     schedule.Kind.NETWORK_CUT: {'silent': True, 'cut': True},
+    schedule.Kind.NETWORK_STALLED: {'stalled': True},
 }
 
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -90,7 +90,7 @@
     process_id : int
         Process of the node.
     revision : int
-        Highest revision in force.
+        Revision in force of the service that operators change.
     """
 
     process_id: int
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -13,11 +13,9 @@
 MAX_SERIES_LENGTH = 4
 # Share of the series with more than one event.
 SERIES_RATIO = 0.4
-MIN_LENGTH_S = 0.3
-MAX_LENGTH_S = 4.0
-# Limits that upstreams name.
-MIN_LIMIT_PER_S = 0.5
-MAX_LIMIT_PER_S = 12.0
+# Limits that upstreams name, below the rate that each of them gets otherwise.
+MIN_LIMIT_PER_S = 0.2
+MAX_LIMIT_PER_S = 4.0
 
 
 class Kind(enum.Enum):
@@ -40,9 +38,19 @@
     NETWORK_LOSSY = 'network-lossy'
     NETWORK_SILENT = 'network-silent'
     NETWORK_CUT = 'network-cut'
+    NETWORK_STALLED = 'network-stalled'
     CONFIGURATION = 'configuration'
 
 
+# Shortest and longest duration. What upstreams state binds only after some
+# seconds.
+DEFAULT_LENGTH_S = (0.3, 4.0)
+LENGTHS_S = {
+    Kind.LIMITED_UPSTREAM: (5.0, 12.0),
+    Kind.LEAVING_UPSTREAM: (3.0, 8.0),
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
     """One fault, or one piece of planned work.
@@ -106,7 +114,7 @@
     host = generator.randrange(host_count)
     events = []
     for offset in range(length):
-        for_s = generator.uniform(MIN_LENGTH_S, MAX_LENGTH_S)
+        for_s = generator.uniform(*LENGTHS_S.get(kind, DEFAULT_LENGTH_S))
         limit_per_s = generator.uniform(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S)
         event = Event(
             at_s,
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import pathlib
 import random
+import signal
 import time
 import typing
 
-import aiohttp
+import grpclib
+from grpclib import client as grpc_client
 
 from bench import fleet
-from bench import scrape
 from bench import sites
 from bench.soak import actions
 from bench.soak import checks
 from bench.soak import schedule
 from bench import traffic
 from jasminebeam.model import services
+from jasminebeam.operators.generated import operators_grpc
+from jasminebeam.operators.generated import operators_pb2
 
 FIRST_PORT = 23_000
 SITE = sites.Site(
@@ -41,7 +43,7 @@
 RECOVERY_S = 15.0
 RECOVERY_CHECK_S = 3.0
 REVISION_POLL_S = 0.5
-METRICS_TIMEOUT_S = 1.0
+REVISION_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,13 +101,20 @@
         self._actions: actions.Actions | None = None
 
     async def run(self) -> Report:
-        """Run the seed and return its report."""
+        """Run the seed and return its report.
+
+        SIGTERM ends the run and all processes that it has started.
+        """
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             await self._fleet.start()
             await self._fleet.create_services()
             await self._fleet.wait_for_members()
             return await self._run_started()
         finally:
+            loop.remove_signal_handler(signal.SIGTERM)
             await self._fleet.stop()
 
     async def _run_started(self) -> Report:
@@ -166,14 +175,20 @@
 
     async def _read_revision(self, host: fleet.Host) -> None:
         process_id = self._fleet.process_id(host)
-        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-            async with asyncio.timeout(METRICS_TIMEOUT_S):
-                text = await self._fleet.metrics(host)
-            if self._fleet.process_id(host) != process_id:
-                return
-            revision = scrape.total([text], 'jasminebeam_config_revision')
+        channel = grpc_client.Channel(host.address, host.operator_port)
+        stub = operators_grpc.OperatorsStub(channel)
+        request = operators_pb2.GetServiceRequest(name=SITE.services[0].name)
+        try:
+            async with asyncio.timeout(REVISION_TIMEOUT_S):
+                found = await stub.GetService(request)
+        except (grpclib.GRPCError, OSError, TimeoutError):
+            # The node is stopped, paused or has no configuration yet.
+            return
+        finally:
+            channel.close()
+        if self._fleet.process_id(host) == process_id:
             self._history.revisions.append(
-                checks.Revision(process_id, int(revision))
+                checks.Revision(process_id, found.revision)
             )
 
 
--- a/bench/standins/network.py
+++ b/bench/standins/network.py
@@ -69,6 +69,9 @@
         from then on, without closing.
     cut : bool
         Abort new connections.
+    stalled : bool
+        Connections that are open when the fault begins hold all data, and
+        deliver it when the fault ends.
     """
 
     failure_domain: str = ''
@@ -76,6 +79,7 @@
     loss_ratio: float = 0.0
     silent: bool = False
     cut: bool = False
+    stalled: bool = False
 
 
 RETRANSMIT_MS = 200.0
@@ -180,11 +184,14 @@
 
     async def _handle_control(self, request: web.BaseRequest) -> web.Response:
         self._faults = msgspec.json.decode(await request.read(), type=Faults)
-        if self._faults.silent:
-            for connection in self._connections:
-                connection.blackholed = (
-                    connection.blackholed or self._is_affected(connection)
-                )
+        for connection in list(self._connections):
+            affected = self._is_affected(connection)
+            if affected and self._faults.silent:
+                connection.blackholed = True
+            if affected and self._faults.stalled:
+                connection.hold()
+            else:
+                connection.release()
         return web.json_response({})
 
 
@@ -197,6 +204,8 @@
         self.blackholed = False
         self.outbound: asyncio.Transport | None = None
         self.inbound: _InboundProtocol | None = None
+        self._held: list[tuple[str, bytes]] | None = None
+        self._closing = False
         self._last_due_s = {'in': 0.0, 'out': 0.0}
 
     def attach_inbound(self, inbound: _InboundProtocol) -> None:
@@ -211,6 +220,9 @@
         """Schedule data for delivery after the delay, in order."""
         if self.blackholed:
             return
+        if self._held is not None:
+            self._held.append((direction, data))
+            return
         loop = asyncio.get_running_loop()
         due_s = loop.time() + self.network.delay_s(self)
         due_s = max(due_s, self._last_due_s[direction])
@@ -225,11 +237,28 @@
             return
         transport.write(data)
 
+    def hold(self) -> None:
+        """Hold all data, and the end of the connection, until `release`."""
+        if self._held is None:
+            self._held = []
+
+    def release(self) -> None:
+        """Deliver what has been held."""
+        held, self._held = self._held, None
+        for direction, data in held or ():
+            self.forward(direction, data)
+        if self._closing:
+            last_due_s = max(self._last_due_s.values())
+            asyncio.get_running_loop().call_at(last_due_s, self.close)
+
     def close(self) -> None:
         """Close both halves, unless the connection drops all data.
 
         A network that drops all data delivers no FIN either.
         """
+        if self._held is not None:
+            self._closing = True
+            return
         self.network.remove(self)
         if self.blackholed:
             return
