--- a/tests/test_sidecar/test_rate_limit.py
+++ b/tests/test_sidecar/test_rate_limit.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench.soak import checks
 from jasminebeam.model import upstreams
 from jasminebeam.peering import messages
 from jasminebeam.sidecar import sidecar
@@ -20,17 +21,6 @@
     return 1.5 * limit_per_s * window_ms / 1_000 + 5
 
 
-def most_in_window(instants_ms, window_ms=WINDOW_MS):
-    """Return the largest number of instants in any sliding window."""
-    instants_ms = sorted(instants_ms)
-    most = first = 0
-    for index, instant_ms in enumerate(instants_ms):
-        while instants_ms[first] <= instant_ms - window_ms:
-            first += 1
-        most = max(most, index - first + 1)
-    return most
-
-
 def _send_for(cluster, seconds, method='POST'):
     for _ in range(int(seconds / INTERVAL_S)):
         cluster.send(cluster.call(method))
@@ -49,11 +39,13 @@
 
 
 def _most_since(server, since_ms):
-    return most_in_window(
+    """Return the largest number of arrivals in any sliding window."""
+    arrivals_ms = [
         instant_ms
         for instant_ms in server.upstream.arrivals_ms
         if instant_ms >= since_ms
-    )
+    ]
+    return checks.most_in_window(arrivals_ms, WINDOW_MS)
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
