Run the soak with the users' protocol as well

`--interface=platform` starts `python3 -m jasminebeam.platform` with the deployment's template of settings, a store and upstreams that send heartbeats as processes, and callers that read the verdict from the status.

The processes of the fleet, the options of the network and the callers' dialect are now used by both. Events reach a fleet through one protocol; what differs (how a drained upstream returns, who announces it after a restart, how the configuration changes) is a method of each.

--- a/bench/cmd.py
+++ b/bench/cmd.py
@@ -15,6 +15,8 @@
 from bench import emulation
 from bench import experiment
 from bench import report
+from bench.soak import native_fleet
+from bench.soak import platform_fleet
 from bench.soak import soak
 
 _OUTPUT = flags.DEFINE_string(
@@ -36,6 +38,13 @@
     'seeds', 1, 'Number of seeds of the soak, from --seed on.'
 )
 
+_INTERFACE = flags.DEFINE_enum(
+    'interface',
+    'native',
+    ['native', 'platform'],
+    'Interfaces of the nodes in the soak.',
+)
+
 EXIT_INVALID_RESULT = 1
 EXIT_USAGE = 2
 
@@ -69,7 +78,10 @@
     kept = True
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
         directory = pathlib.Path(_OUTPUT.value) / f'soak-{seed}'
-        created = soak.Soak(seed, _MINUTES.value * 60, directory)
+        create_fleet: soak.FleetFactory = native_fleet.NativeFleet
+        if _INTERFACE.value == 'platform':
+            create_fleet = platform_fleet.PlatformFleet
+        created = soak.Soak(seed, _MINUTES.value * 60, directory, create_fleet)
         result = uvloop.run(created.run())
         print('\n'.join(soak.lines(result)), flush=True)
         kept = kept and not result.findings
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,6 +15,7 @@
 from grpclib import client as grpc_client
 import msgspec
 
+from bench import processes
 from bench import sites
 from bench.standins import network
 from bench.standins import upstream
@@ -115,13 +116,12 @@
     def __init__(self, site: sites.Site, options: Options) -> None:
         self.site = site
         self.options = options
-        self.hosts = _create_hosts(site, options.first_port)
+        self.hosts = create_hosts(site, options.first_port)
         self.store_port = options.first_port
         self.run_counter = RunCounter()
         self._run_counter_port = options.first_port + 1
         self._network_control_port = options.first_port + 2
-        self._processes: dict[str, asyncio.subprocess.Process] = {}
-        self._logs: list[typing.IO[bytes]] = []
+        self._processes = processes.Processes(options.directory)
         self._transport: asyncio.DatagramTransport | None = None
 
     async def start(self) -> None:
@@ -149,12 +149,12 @@
 
     async def restart_node(self, host: Host) -> None:
         """Start the node of a host again once its process has ended."""
-        await self._processes[f'node-{host.node_id}'].wait()
+        await self._processes.wait(f'node-{host.node_id}')
         await self._start_node(host)
 
     def signal_node(self, host: Host, signal_number: signal.Signals) -> None:
         """Send a signal to a host's node, but not to its upstream."""
-        self._send_signal(f'node-{host.node_id}', signal_number)
+        self._processes.send_signal(f'node-{host.node_id}', signal_number)
 
     async def create_services(
         self, service_fields: typing.Mapping[str, typing.Any] | None = None
@@ -215,25 +215,25 @@
     ) -> None:
         """Replace the faults that a stand-in upstream simulates."""
         url = f'http://127.0.0.1:{host.upstream_port}/-/faults'
-        await _post(url, msgspec.json.encode(faults))
+        await post(url, msgspec.json.encode(faults))
 
     async def set_store_faults(self, faults: typing.Any) -> None:
         """Replace the faults that the stand-in store simulates."""
         url = f'http://127.0.0.1:{self.store_port}/-/faults'
-        await _post(url, msgspec.json.encode(faults))
+        await post(url, msgspec.json.encode(faults))
 
     async def set_network_faults(self, faults: network.Faults) -> None:
         """Replace the faults that the stand-in network simulates."""
         url = f'http://127.0.0.1:{self._network_control_port}/'
-        await _post(url, msgspec.json.encode(faults))
+        await post(url, msgspec.json.encode(faults))
 
     async def drain(self, host: Host) -> None:
         """Make the node drain its upstream."""
-        await _post(f'http://127.0.0.1:{host.announce_port}/drain', b'')
+        await post(f'http://127.0.0.1:{host.announce_port}/drain', b'')
 
     async def announce(self, host: Host) -> None:
         """Make the stand-in upstream announce itself to its node again."""
-        await _post(f'http://127.0.0.1:{host.upstream_port}/-/announce', b'')
+        await post(f'http://127.0.0.1:{host.upstream_port}/-/announce', b'')
 
     async def metrics(self, host: Host) -> str:
         """Return a node's metrics in the Prometheus text format."""
@@ -244,42 +244,31 @@
 
     async def stop_node(self, host: Host) -> int:
         """Stop a node gracefully with SIGTERM; return its exit status."""
-        process = self._processes[f'node-{host.node_id}']
-        process.terminate()
+        self.signal_node(host, signal.SIGTERM)
         async with asyncio.timeout(STOP_TIMEOUT_S):
-            return await process.wait()
+            return await self._processes.wait(f'node-{host.node_id}')
 
     def signal_host(self, host: Host, signal_number: signal.Signals) -> None:
         """Send a signal to a host's node and upstream."""
         for role in ('node', 'upstream'):
-            self._send_signal(f'{role}-{host.node_id}', signal_number)
+            name = f'{role}-{host.node_id}'
+            self._processes.send_signal(name, signal_number)
 
     def process_id(self, host: Host) -> int:
         """Return the process id of a node."""
-        return self._processes[f'node-{host.node_id}'].pid
+        return self._processes.process_id(f'node-{host.node_id}')
 
     async def stop(self) -> None:
         """Kill all processes and close the logs."""
-        for signal_number in (signal.SIGCONT, signal.SIGKILL):
-            for name in self._processes:
-                self._send_signal(name, signal_number)
-        for process in self._processes.values():
-            await process.wait()
-        for log in self._logs:
-            log.close()
+        await self._processes.kill_all()
         self._transport.close()
 
-    def _send_signal(self, name: str, signal_number: signal.Signals) -> None:
-        process = self._processes.get(name)
-        if process is not None and process.returncode is None:
-            process.send_signal(signal_number)
-
     async def _start_node(self, host: Host) -> None:
         path = self.options.directory / f'{host.node_id}.ini'
         with path.open('w') as file:
             self._node_settings(host).write(file)
         program = pathlib.Path(sys.executable).parent / 'jasminebeam-node'
-        await self._spawn(
+        await self._processes.spawn(
             f'node-{host.node_id}', str(program), f'--settings={path}'
         )
 
@@ -310,18 +299,10 @@
         )
 
     async def _spawn_stand_in(self, name: str, *arguments: str) -> None:
-        await self._spawn(
+        await self._processes.spawn(
             name, sys.executable, '-m', 'bench.standins.run', *arguments
         )
 
-    async def _spawn(self, name: str, *command: str) -> None:
-        mode = 'ab' if name in self._processes else 'wb'
-        log = (self.options.directory / f'{name}.log').open(mode)
-        self._logs.append(log)
-        self._processes[name] = await asyncio.create_subprocess_exec(
-            *command, stdout=log, stderr=log
-        )
-
     def _node_settings(self, host: Host) -> configparser.ConfigParser:
         parser = configparser.ConfigParser(interpolation=None)
         parser.read_dict(
@@ -361,25 +342,14 @@
     def _advertised_address(self, host: Host) -> str:
         if not self.options.with_network:
             return ''
-        return f'{_network_address(host)}:{host.peer_port}'
+        return f'{network_address(host)}:{host.peer_port}'
 
     async def _start_network(self) -> None:
-        routes = tuple(
-            network.Route(
-                _network_address(host),
-                host.peer_port,
-                host.address,
-                host.failure_domain,
-            )
-            for host in self.hosts
-        )
-        options = network.Options(
-            control_port=self._network_control_port,
-            routes=routes,
-            domains={host.address: host.failure_domain for host in self.hosts},
-            one_way_ms=self.site.one_way_ms,
-            jitter_ms=0.2 * self.site.one_way_ms,
-            seed=self.options.seed,
+        options = network_options(
+            self.site,
+            self.hosts,
+            self._network_control_port,
+            self.options.seed,
         )
         encoded = msgspec.json.encode(options).decode()
         await self._spawn_stand_in('network', 'relay', encoded)
@@ -406,11 +376,38 @@
         return sum(listed.phase == 'ready' for listed in response.upstreams)
 
 
-def _network_address(host: Host) -> str:
+def network_options(
+    site: sites.Site,
+    hosts: typing.Sequence[Host],
+    control_port: int,
+    seed: int,
+) -> network.Options:
+    """Return the options of a network through which hosts reach each other."""
+    return network.Options(
+        control_port=control_port,
+        routes=tuple(
+            network.Route(
+                network_address(host),
+                host.peer_port,
+                host.address,
+                host.failure_domain,
+            )
+            for host in hosts
+        ),
+        domains={host.address: host.failure_domain for host in hosts},
+        one_way_ms=site.one_way_ms,
+        jitter_ms=0.2 * site.one_way_ms,
+        seed=seed,
+    )
+
+
+def network_address(host: Host) -> str:
+    """Return the address of a host in the stand-in network."""
     return f'127.0.2.{host.index + 1}'
 
 
-def _create_hosts(site: sites.Site, first_port: int) -> list[Host]:
+def create_hosts(site: sites.Site, first_port: int) -> list[Host]:
+    """Return the hosts of a site with their ports."""
     names = [
         service.name
         for service in site.services
@@ -436,7 +433,8 @@
     return hosts
 
 
-async def _post(url: str, body: bytes) -> None:
+async def post(url: str, body: bytes) -> None:
+    """Post to a control address of a stand-in or a node."""
     async with aiohttp.ClientSession() as session:
         async with session.post(url, data=body) as response:
             response.raise_for_status()
--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -10,22 +10,19 @@
 
 import aiohttp
 import grpclib
-from grpclib import client as grpc_client
 
 from bench.soak import checks
 from bench.soak import schedule
 from bench.standins import network
 from bench.standins import store
 from bench.standins import upstream
-from jasminebeam.operators.generated import operators_grpc
-from jasminebeam.operators.generated import operators_pb2
 
 if typing.TYPE_CHECKING:
     from bench import fleet as fleet_module
+    from bench import traffic
 
 # Time between the end of a node and its next start.
 RESTART_DELAY_S = 0.3
-OPERATOR_TIMEOUT_S = 3.0
 SLOW_FACTOR = 8.0
 STORE_DELAY_MS = 1_500.0
 LOST_WRITE_ANSWERS = 3
@@ -52,6 +49,62 @@
 }
 
 
+class SoakFleet(typing.Protocol):
+    """Processes that a soak runs."""
+
+    caller_dialect: traffic.CallerDialect
+    hosts: list[fleet_module.Host]
+    run_counter: fleet_module.RunCounter
+
+    async def prepare(self) -> None:
+        """Start all processes and put the configuration in force."""
+
+    async def stop(self) -> None:
+        """Kill all processes."""
+
+    async def stop_node(self, host: fleet_module.Host) -> int:
+        """Stop a node gracefully; return its exit status."""
+
+    def signal_node(
+        self, host: fleet_module.Host, signal_number: signal.Signals
+    ) -> None:
+        """Send a signal to a node."""
+
+    async def restart_node(self, host: fleet_module.Host) -> None:
+        """Start the node of a host again once its process has ended."""
+
+    async def on_node_restarted(self, host: fleet_module.Host) -> None:
+        """Tell a restarted node what it does not find by itself."""
+
+    def process_id(self, host: fleet_module.Host) -> int:
+        """Return the process id of a node."""
+
+    async def drain(self, host: fleet_module.Host) -> None:
+        """Drain an upstream and return once that is acknowledged."""
+
+    async def return_upstream(self, host: fleet_module.Host) -> None:
+        """Put a drained or leaving upstream into service again."""
+
+    async def set_upstream_faults(
+        self, host: fleet_module.Host, faults: upstream.Faults
+    ) -> None:
+        """Replace the faults of an upstream."""
+
+    async def set_store_faults(self, faults: store.Faults) -> None:
+        """Replace the faults of the store."""
+
+    async def set_network_faults(self, faults: network.Faults) -> None:
+        """Replace the faults of the network."""
+
+    async def change_configuration(
+        self, host: fleet_module.Host, name: str
+    ) -> None:
+        """Change the configuration, or raise an error."""
+
+    async def revision(self, host: fleet_module.Host) -> int | None:
+        """Return the revision in force at a node; None if it is silent."""
+
+
 class Actions:
     """Faults and planned work that are in progress.
 
@@ -59,7 +112,7 @@
 
     Parameters
     ----------
-    fleet : Fleet
+    fleet : SoakFleet
         The processes.
     history : History
         Receives what callers and upstreams must not suffer from.
@@ -69,7 +122,7 @@
 
     def __init__(
         self,
-        fleet: fleet_module.Fleet,
+        fleet: SoakFleet,
         history: checks.History,
         started_s: float,
     ) -> None:
@@ -128,7 +181,7 @@
         await asyncio.sleep(RESTART_DELAY_S)
         await self._fleet.restart_node(host)
         if host.index not in self._unused_upstreams:
-            await self._fleet.announce(host)
+            await self._fleet.on_node_restarted(host)
         self.gone_nodes.discard(host.index)
         self._busy_nodes.discard(host.index)
 
@@ -168,7 +221,7 @@
         await self._use_again(host)
 
     async def _use_again(self, host: fleet_module.Host) -> None:
-        await self._fleet.announce(host)
+        await self._fleet.return_upstream(host)
         self._unused_upstreams.discard(host.index)
 
     def _is_unavailable(self, host: fleet_module.Host) -> bool:
@@ -246,27 +299,16 @@
     async def _change_configuration(
         self, event: schedule.Event, host: fleet_module.Host
     ) -> None:
-        """Update one service; the store or another change may prevent it."""
-        channel = grpc_client.Channel(host.address, host.operator_port)
-        stub = operators_grpc.OperatorsStub(channel)
-        name = self._fleet.site.services[0].name
+        """Change the configuration; the store may prevent it."""
         try:
-            async with asyncio.timeout(OPERATOR_TIMEOUT_S):
-                current = await stub.GetService(
-                    operators_pb2.GetServiceRequest(name=name)
-                )
-                current.service.timeout_ms += 1
-                await stub.UpdateService(
-                    operators_pb2.UpdateServiceRequest(
-                        service=current.service,
-                        expected_revision=current.revision,
-                        change_id=f'soak-{event.at_s}',
-                    )
-                )
-        except (grpclib.GRPCError, OSError, TimeoutError):
+            await self._fleet.change_configuration(host, f'soak-{event.at_s}')
+        except (
+            aiohttp.ClientError,
+            grpclib.GRPCError,
+            OSError,
+            TimeoutError,
+        ):
             self._history.failed_changes += 1
-        finally:
-            channel.close()
 
     _handlers: typing.ClassVar[
         dict[
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -10,18 +10,14 @@
 import time
 import typing
 
-import grpclib
-from grpclib import client as grpc_client
-
 from bench import fleet
 from bench import sites
 from bench.soak import actions
 from bench.soak import checks
+from bench.soak import native_fleet
 from bench.soak import schedule
 from bench import traffic
 from jasminebeam.model import services
-from jasminebeam.operators.generated import operators_grpc
-from jasminebeam.operators.generated import operators_pb2
 
 FIRST_PORT = 23_000
 SITE = sites.Site(
@@ -43,7 +39,9 @@
 RECOVERY_S = 15.0
 RECOVERY_CHECK_S = 3.0
 REVISION_POLL_S = 0.5
-REVISION_TIMEOUT_S = 1.0
+
+
+FleetFactory = typing.Callable[[sites.Site, fleet.Options], actions.SoakFleet]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,10 +77,17 @@
         Time within which faults begin and end.
     directory : pathlib.Path
         Directory for settings and logs.
+    create_fleet : callable
+        Returns the processes: with jasminebeam's own interfaces or with
+        those of the users' platform.
     """
 
     def __init__(
-        self, seed: int, duration_s: float, directory: pathlib.Path
+        self,
+        seed: int,
+        duration_s: float,
+        directory: pathlib.Path,
+        create_fleet: FleetFactory = native_fleet.NativeFleet,
     ) -> None:
         self._seed = seed
         self._duration_s = duration_s
@@ -93,7 +98,7 @@
             with_network=True,
             seed=seed,
         )
-        self._fleet = fleet.Fleet(SITE, options)
+        self._fleet = create_fleet(SITE, options)
         self._history = checks.History()
         self._events = schedule.create(
             seed, duration_s, len(self._fleet.hosts)
@@ -109,9 +114,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
-            await self._fleet.start()
-            await self._fleet.create_services()
-            await self._fleet.wait_for_members()
+            await self._fleet.prepare()
             return await self._run_started()
         finally:
             loop.remove_signal_handler(signal.SIGTERM)
@@ -142,7 +145,12 @@
 
     async def _send(self, duration_s: float, prefix: str) -> traffic.Recorder:
         return await traffic.run(
-            STREAMS, self._choose_ingress, duration_s, self._seed, prefix
+            STREAMS,
+            self._choose_ingress,
+            duration_s,
+            self._seed,
+            prefix,
+            dialect=self._fleet.caller_dialect,
         )
 
     def _choose_ingress(self) -> traffic.IngressAddress:
@@ -175,20 +183,12 @@
 
     async def _read_revision(self, host: fleet.Host) -> None:
         process_id = self._fleet.process_id(host)
-        channel = grpc_client.Channel(host.address, host.operator_port)
-        stub = operators_grpc.OperatorsStub(channel)
-        request = operators_pb2.GetServiceRequest(name=SITE.services[0].name)
-        try:
-            async with asyncio.timeout(REVISION_TIMEOUT_S):
-                found = await stub.GetService(request)
-        except (grpclib.GRPCError, OSError, TimeoutError):
-            # The node is stopped, paused or has no configuration yet.
-            return
-        finally:
-            channel.close()
-        if self._fleet.process_id(host) == process_id:
+        revision = await self._fleet.revision(host)
+        if revision is not None and (
+            self._fleet.process_id(host) == process_id
+        ):
             self._history.revisions.append(
-                checks.Revision(process_id, found.revision)
+                checks.Revision(process_id, revision)
             )
 
 
--- a/bench/standins/platform_store.py
+++ b/bench/standins/platform_store.py
@@ -31,12 +31,15 @@
         Number of further writes that take effect but get no response.
     page_items : int
         Maximum number of items per page.
+    delay_ms : float
+        Delay of each response.
     """
 
     refuse_status: int = 0
     silent: bool = False
     lose_write_answers: int = 0
     page_items: int = MAX_PAGE_ITEMS
+    delay_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +80,7 @@
                 web.post('/v1/kv-lease', self._lease),
                 web.post('/v1/kv-keep/{id}', self._keep),
                 web.delete('/v1/kv-lease-end/{id}', self._lease_end),
+                *self.extra_routes(),
             ]
         )
         application.middlewares.append(self._inject_faults)
@@ -84,6 +88,10 @@
             application, access_log=None, handler_cancellation=True
         )
 
+    def extra_routes(self) -> list[web.RouteDef]:
+        """Return further routes; there are none here."""
+        return []
+
     async def start(self) -> None:
         """Listen."""
         await self._runner.setup()
@@ -130,7 +138,11 @@
         request: web.Request,
         handler: typing.Callable[..., typing.Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
+        if request.path.startswith('/-/'):
+            return await handler(request)
         operation = request.path.split('/')[2]
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1_000)
         self.calls[operation] += 1
         if self.faults.silent:
             await asyncio.Event().wait()
--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -36,6 +36,8 @@
         self.healthy = True
         self.behaviour = ''
         self.body = b'whole'
+        # Whether the body of an answer is the id of its request.
+        self.echoes = False
         # Value of the header that names a rate limit; empty for none.
         self.limit = ''
         self.leaving = False
@@ -108,6 +110,8 @@
             'Server-Load': f'{self._running},0,{self.slots},'
             f'{self.slowness_percent}'
         }
+        if request.path.startswith('/-/'):
+            return await self.control(request)
         is_check = request.path == '/health'
         if self.states_in_health or not is_check:
             headers |= self._statements()
@@ -125,6 +129,13 @@
             return web.Response(status=503, headers=headers)
         return await self._run_request(request, request_id, headers)
 
+    async def control(self, request: web.BaseRequest) -> web.Response:
+        """Carry out a control request; there is none here."""
+        return web.Response(status=404)
+
+    def on_run(self, request_id: str) -> None:
+        """Receive each request that runs."""
+
     def _statements(self) -> dict[str, str]:
         statements = {}
         if self.limit:
@@ -140,6 +151,7 @@
         headers: dict[str, typing.Any],
     ) -> web.StreamResponse:
         self.runs[request_id] += 1
+        self.on_run(request_id)
         self.callers.add(request.headers.get('Caller-Service', ''))
         self.time_left_ms.append(int(request.headers['Deadline-Ms']))
         self._running += 1
@@ -155,10 +167,14 @@
             self._running -= 1
         if self.behaviour == 'close':
             request.transport.abort()
+        if self.behaviour == 'fail':
+            headers['Server-Stamp'] = f'stamp-{self.upstream_id}'
+            return web.Response(status=500, headers=headers)
         if self.behaviour == 'other answer':
             headers['Request-Id'] = 'another'
         if self.behaviour == 'unmarked 503':
             return web.Response(status=503, headers=headers)
         if self.behaviour != 'unsigned':
             headers['Server-Stamp'] = f'stamp-{self.upstream_id}'
-        return web.Response(body=self.body, headers=headers)
+        body = request_id.encode() if self.echoes else self.body
+        return web.Response(body=body, headers=headers)
--- a/bench/standins/run.py
+++ b/bench/standins/run.py
@@ -10,6 +10,7 @@
 import msgspec
 import uvloop
 
+from bench.standins import controlled
 from bench.standins import network
 from bench.standins import store
 from bench.standins import upstream
@@ -31,23 +32,29 @@
     await stand_in.stop()
 
 
+_CREATORS: dict[str, typing.Callable[[str], _StandIn]] = {
+    'store': lambda argument: store.StandInStore(int(argument)),
+    'relay': lambda argument: network.StandInNetwork(
+        msgspec.json.decode(argument, type=network.Options)
+    ),
+    'upstream': lambda argument: upstream.StandInUpstream(
+        msgspec.json.decode(argument, type=upstream.Options)
+    ),
+    'platform-store': controlled.store_from,
+    'platform-upstream': controlled.upstream_from,
+}
+
+
 def main(arguments: list[str]) -> None:
     """Run the stand-in that the arguments name.
 
-    The arguments are ``store PORT``, ``upstream OPTIONS`` or ``relay
-    OPTIONS``; ``relay`` stands for the stand-in network. OPTIONS is the
-    JSON form of the `Options` of the stand-in's module.
+    The arguments are ``store PORT``, ``platform-store PORT``, or the name of
+    another stand-in and its OPTIONS; ``relay`` stands for the stand-in
+    network. OPTIONS is the JSON form of the options of the stand-in's
+    module.
     """
     name, argument = arguments
-    if name == 'relay':
-        network_options = msgspec.json.decode(argument, type=network.Options)
-        uvloop.run(_run(lambda: network.StandInNetwork(network_options)))
-        return
-    if name == 'store':
-        uvloop.run(_run(lambda: store.StandInStore(int(argument))))
-        return
-    upstream_options = msgspec.json.decode(argument, type=upstream.Options)
-    uvloop.run(_run(lambda: upstream.StandInUpstream(upstream_options)))
+    uvloop.run(_run(lambda: _CREATORS[name](argument)))
 
 
 if __name__ == '__main__':
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -119,6 +119,35 @@
         return self.lag_p99_ms() <= MAX_LAG_P99_MS
 
 
+class CallerDialect(typing.Protocol):
+    """How callers send requests and read verdicts."""
+
+    def headers(self, stream: Stream, request_id: str) -> dict[str, str]:
+        """Return the headers of a request."""
+
+    def outcome(self, response: aiohttp.ClientResponse) -> tuple[str, str]:
+        """Return the outcome that a response states, and its reason."""
+
+
+class NativeCallerDialect:
+    """Callers of jasminebeam's own HTTP interface."""
+
+    def headers(self, stream: Stream, request_id: str) -> dict[str, str]:
+        """Return the Host header and the request id."""
+        return {
+            'Host': f'{stream.service}.example',
+            'X-Request-Id': request_id,
+        }
+
+    def outcome(self, response: aiohttp.ClientResponse) -> tuple[str, str]:
+        """Return the headers of the verdict."""
+        headers = response.headers
+        return headers.get(VERDICT, 'no_verdict'), headers.get(REASON, '')
+
+
+NATIVE = NativeCallerDialect()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IngressAddress:
     """Address of a node's HTTP server for callers."""
@@ -137,6 +166,7 @@
     seed: int,
     prefix: str,
     on_progress: typing.Callable[[float], None] = lambda seconds: None,
+    dialect: CallerDialect = NATIVE,
 ) -> Recorder:
     """Send the streams' requests on schedule and return the recorder.
 
@@ -154,6 +184,8 @@
         Prefix of all request ids.
     on_progress : callable
         Receives the number of seconds by which the schedule advanced.
+    dialect : CallerDialect
+        Writes requests and reads verdicts.
     """
     recorder = Recorder()
     arrivals = schedule(streams, duration_s, seed)
@@ -183,6 +215,7 @@
                 choose_ingress(),
                 due_s,
                 at_s,
+                dialect,
             )
             task = asyncio.create_task(coroutine)
             tasks.add(task)
@@ -217,6 +250,7 @@
     ingress: IngressAddress,
     due_s: float,
     at_s: float,
+    dialect: CallerDialect,
 ) -> None:
     lag_us = int((time.perf_counter() - due_s) * 1e6)
     recorder.lag_us.record_value(max(1, lag_us))
@@ -225,15 +259,11 @@
         async with session.request(
             stream.method,
             f'http://{ingress.host}:{ingress.port}{stream.path}',
-            headers={
-                'Host': f'{stream.service}.example',
-                'X-Request-Id': request_id,
-            },
+            headers=dialect.headers(stream, request_id),
         ) as response:
             body = await response.read()
             status = response.status
-            outcome = response.headers.get(VERDICT, 'no_verdict')
-            reason = response.headers.get(REASON, '')
+            outcome, reason = dialect.outcome(response)
             if status == 200:
                 answer_matches = body == request_id.encode()
     except aiohttp.ClientConnectorError:
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -7,6 +7,8 @@
 import pytest
 
 from bench.soak import checks
+from bench.soak import native_fleet
+from bench.soak import platform_fleet
 from bench.soak import schedule
 from bench.soak import soak
 from bench import traffic
@@ -133,9 +135,13 @@
     assert checks.check_recovery([*sent, _observation('c', 'not-run')])
 
 
-async def test_seeded_soak_finds_no_violation(tmp_path):
+@pytest.mark.parametrize(
+    'create_fleet', [native_fleet.NativeFleet, platform_fleet.PlatformFleet]
+)
+async def test_seeded_soak_finds_no_violation(tmp_path, create_fleet):
     """Real processes keep the guarantees under the faults of a seed."""
-    report = await soak.Soak(SEED, DURATION_S, tmp_path).run()
+    created = soak.Soak(SEED, DURATION_S, tmp_path, create_fleet)
+    report = await created.run()
     assert report.events
     assert report.outcomes['answered']
     assert not report.findings, report.findings
