--- a/tests/test_platform/test_late_answers.py
+++ b/tests/test_platform/test_late_answers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
 import pytest
 import uvloop
@@ -13,7 +12,7 @@
 from jasminebeam.platform import upstreams as dialect
 from jasminebeam.upstreams import client
 from jasminebeam import verdict
-from tests import ports
+from tests import scripted
 
 
 @pytest.fixture(
@@ -24,7 +23,7 @@
     return request.param()
 
 
-class DuplicatingUpstream:
+class DuplicatingUpstream(scripted.Server):
     """Sends the answer to a connection's first request once more, late.
 
     The second copy arrives together with the next request, so the
@@ -32,30 +31,23 @@
     """
 
     def __init__(self):
-        self.port = ports.free_port()
+        super().__init__()
         self.copy = b''
         # Status and additional header of the first answer of a connection.
         self.first = (b'200 OK', b'')
         self.connections = 0
 
-    async def start(self):
-        """Start listening."""
-        self.server = await asyncio.start_server(
-            self._serve, '127.0.0.1', self.port
-        )
-
-    async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            self.connections += 1
-            head = await reader.readuntil(b'\r\n\r\n')
-            status, extra = self.first
-            writer.write(_answer(head, status, extra=extra))
-            head = await reader.readuntil(b'\r\n\r\n')
-            writer.write(self.copy)
-            await writer.drain()
-            # The answer to the second request would follow.
-            await reader.read(1)
-        writer.close()
+    async def serve(self, reader, writer):
+        """Answer one request, and send the copy in place of the next."""
+        self.connections += 1
+        head = await reader.readuntil(b'\r\n\r\n')
+        status, extra = self.first
+        writer.write(_answer(head, status, extra=extra))
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.copy)
+        await writer.drain()
+        # The answer to the second request would follow.
+        await reader.read(1)
 
 
 def _request_id(head):
--- a/tests/test_upstreams/test_cut_answers.py
+++ b/tests/test_upstreams/test_cut_answers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
 import pytest
 import uvloop
@@ -14,8 +13,8 @@
 from jasminebeam.upstreams import client
 from jasminebeam.upstreams import dialect
 from jasminebeam import verdict
-from tests import ports
 from tests import resets
+from tests import scripted
 
 HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: id\r\nServer-Stamp: s\r\n'
 BODY = b'0123456789'
@@ -40,29 +39,26 @@
     return request.param()
 
 
-class CuttingUpstream:
+class CuttingUpstream(scripted.Server):
     """Sends the first bytes of an answer and ends the connection."""
 
     def __init__(self):
-        self.port = ports.free_port()
+        super().__init__()
         self.sent = b''
         self.resets = False
 
-    async def start(self):
-        """Start listening."""
-        self.server = await asyncio.start_server(
-            self._serve, '127.0.0.1', self.port
-        )
-
-    async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(self.sent)
-            await writer.drain()
+    async def serve(self, reader, writer):
+        """Send the bytes."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.sent)
+        await writer.drain()
+
+    def finish(self, writer):
+        """Reset or close the connection."""
         if self.resets:
             resets.reset(writer)
         else:
-            writer.close()
+            super().finish(writer)
 
 
 @pytest.fixture
--- a/tests/test_upstreams/test_statements.py
+++ b/tests/test_upstreams/test_statements.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -12,7 +11,7 @@
 from jasminebeam.platform import upstreams as dialect
 from jasminebeam.upstreams import client
 from jasminebeam import verdict
-from tests import ports
+from tests import scripted
 
 ANSWER = upstreams.NoticeSource.ANSWER
 HEALTH = upstreams.NoticeSource.HEALTH
@@ -22,11 +21,11 @@
 ECHO = b'Request-Id: r\r\nServer-Stamp: s\r\n'
 
 
-class StatingUpstream:
+class StatingUpstream(scripted.Server):
     """Answers requests and health checks with limits."""
 
     def __init__(self):
-        self.port = ports.free_port()
+        super().__init__()
         self.status = b'200 OK'
         self.headers = ECHO
         self.health_headers = OWN_ID
@@ -34,24 +33,17 @@
         self.body_allowed.set()
         self.head_sent = asyncio.Event()
 
-    async def start(self):
-        """Start listening."""
-        self.server = await asyncio.start_server(
-            self._serve, '127.0.0.1', self.port
-        )
-
-    async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while True:
-                request = await reader.readuntil(b'\r\n\r\n')
-                if request.startswith(b'GET /health'):
-                    self._write_head(writer, b'200 OK', self.health_headers, 4)
-                else:
-                    self._write_head(writer, self.status, self.headers, 8)
-                    self.head_sent.set()
-                    await self.body_allowed.wait()
-                writer.write(b'x')
-        writer.close()
+    async def serve(self, reader, writer):
+        """Answer requests and health checks in turn."""
+        while True:
+            request = await reader.readuntil(b'\r\n\r\n')
+            if request.startswith(b'GET /health'):
+                self._write_head(writer, b'200 OK', self.health_headers, 4)
+            else:
+                self._write_head(writer, self.status, self.headers, 8)
+                self.head_sent.set()
+                await self.body_allowed.wait()
+            writer.write(b'x')
 
     def _write_head(self, writer, status, headers, limit_per_s):
         statements = STATEMENTS % str(limit_per_s).encode()
