--- a/jasminebeam/admission/rate_limit.py
+++ b/jasminebeam/admission/rate_limit.py
@@ -129,6 +129,7 @@
 
         The previous process may have used the limit in full until now.
         """
+        # Ingress nodes do not tell which kind of answer has named it.
         limit = self.named(per_s, upstreams.NoticeSource.ANSWER, now_ms)
         limit = limit.named(per_s, upstreams.NoticeSource.REFUSAL, now_ms)
         count = math.ceil(limit._rate(now_ms) * WINDOW_MS / 1_000)
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -238,7 +238,7 @@
         if (
             policy.is_reroute(result)
             and progress.accepts_queueing
-            and (result.reason is verdict.Reason.RATE_LIMITED)
+            and result.reason is verdict.Reason.RATE_LIMITED
         ):
             # The limit is no failure, so it does not use the retry budget.
             return False
