Count requests from before a fall of the limit after a restart

An upstream that lowered its limit could get one request more than the lower limit allows, when its sidecar restarted within four seconds of the fall: 30 instead of 29.

Cause: a restarted sidecar assumes that the limit it is told was used in full until then. If the limit had been higher, the previous process had started more.

A notice now tells how many requests were started within the window. If these are more than the assumed ones, all of them count as started at the restart. Otherwise nothing changes. Ruled out: to start nothing for a whole window after each restart, which would cost every limited upstream four seconds of service.

--- a/jasminebeam/admission/rate_limit.py
+++ b/jasminebeam/admission/rate_limit.py
@@ -124,10 +124,24 @@
             updated_ms=now_ms,
         )
 
-    def adopted(self, per_s: float, now_ms: float) -> RateLimit:
+    def adopted(
+        self, per_s: float, recent_starts: int, now_ms: float
+    ) -> RateLimit:
         """Return the state of a restarted sidecar that learns of a limit.
 
-        The previous process may have used the limit in full until now.
+        The previous process may have used the limit in full until now. If
+        it had started more requests, because the limit was higher before,
+        all of them may have started just now.
+
+        Parameters
+        ----------
+        per_s : float
+            The limit.
+        recent_starts : int
+            Starts within the window of the previous process, as it has last
+            told.
+        now_ms : float
+            Monotonic time.
         """
         # Ingress nodes do not tell which kind of answer has named it.
         limit = self.named(per_s, upstreams.NoticeSource.ANSWER, now_ms)
@@ -137,8 +151,14 @@
         spread = [now_ms - k * WINDOW_MS / count for k in range(count)]
         at_once = [now_ms] * min(count, math.ceil(limit._burst(per_s)))
         starts_ms = (*reversed(spread), *at_once)
+        if recent_starts > len(starts_ms):
+            starts_ms = (now_ms,) * min(recent_starts, MAX_ASSUMED_STARTS)
         return dataclasses.replace(limit, starts_ms=starts_ms)
 
+    def recent_starts(self, now_ms: float) -> int:
+        """Return the number of starts within the window."""
+        return len(self._recent(now_ms))
+
     def unnamed(
         self, source: upstreams.NoticeSource, now_ms: float
     ) -> RateLimit:
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -355,6 +355,9 @@
         Time until the upstream takes a further request.
     leaving : bool
         True if the upstream has stated that it is about to stop.
+    recent_starts : int
+        Requests that the upstream has received within the window of the
+        limit.
     """
 
     upstream_id: str
@@ -362,6 +365,7 @@
     limit_per_s: float | None
     wait_us: int
     leaving: bool
+    recent_starts: int = 0
 
 
 AnyMessage = (
--- a/jasminebeam/sidecar/condition.py
+++ b/jasminebeam/sidecar/condition.py
@@ -118,7 +118,8 @@
             return
         limit = self._slots.limit
         if not limit.paced:
-            self._replace(limit.adopted(per_s, now_ms), _INGRESS)
+            adopted = limit.adopted(per_s, message.recent_starts, now_ms)
+            self._replace(adopted, _INGRESS)
         elif per_s < limit.per_s:
             source = upstreams.NoticeSource.ANSWER
             self._replace(limit.named(per_s, source, now_ms), _INGRESS)
@@ -146,6 +147,7 @@
             self._slots.limit.per_s if self._slots.limit.in_force else None,
             int(self._slots.limit.wait_ms(0, now_ms) * 1_000),
             self.leaving,
+            self._slots.limit.recent_starts(now_ms),
         )
 
     def _leave(self, source: str) -> None:
@@ -212,4 +214,5 @@
         min(limits_per_s, default=None),
         max(kept.wait_us, received.wait_us),
         kept.leaving or received.leaving,
+        max(kept.recent_starts, received.recent_starts),
     )
--- a/tests/test_admission/test_rate_limit.py
+++ b/tests/test_admission/test_rate_limit.py
@@ -79,9 +79,10 @@
     @stateful.rule(down_ms=strategies.floats(0.0, 3_000.0))
     def restart(self, down_ms):
         """The sidecar restarts; an ingress node tells it the limit."""
+        recent_starts = self.limit.recent_starts(self.now_ms)
         self.now_ms += down_ms
         self.limit = rate_limit.RateLimit().adopted(
-            self.limit.per_s, self.now_ms
+            self.limit.per_s, recent_starts, self.now_ms
         )
 
     @stateful.rule(pause_ms=strategies.floats(0.0, 9_000.0))
@@ -96,6 +97,17 @@
 TestLimit = LimitMachine.TestCase
 
 
+def test_restart_after_a_fall_exceeded_the_limit():
+    """Requests from before the fall count in the new process as well."""
+    machine = LimitMachine()
+    machine.name(1e9)
+    machine.offer(29, 1.0)
+    machine.name(4.0)
+    machine.restart(0.0)
+    machine.pause(250.0)
+    machine.offer(30, 100.0)
+
+
 @pytest.mark.parametrize('per_s', LIMITS_PER_S[2:-1])
 def test_limit_is_used_in_full(per_s):
     """The starts must reach the limit where there is enough load."""
--- a/tests/test_sidecar/test_rate_limit.py
+++ b/tests/test_sidecar/test_rate_limit.py
@@ -154,3 +154,17 @@
     server.upstream.on_notice(upstreams.NoticeSource.HEALTH, raised)
     cluster.run(0.2)
     assert waiting.done()
+
+
+def test_requests_before_a_fall_were_forgotten_in_a_restart(cluster):
+    """They use up the lower limit in the new process as well."""
+    server = cluster.add('limited', slots=9)
+    server.upstream.service_s = 0.05
+    server.upstream.notice = upstreams.Notice(100.0)
+    _send_for(cluster, 1.0)
+    server.upstream.notice = upstreams.Notice(LIMIT_PER_S)
+    _send_for(cluster, 0.5)
+    since_ms = cluster.loop.now_ms()
+    server.restart()
+    _send_for(cluster, 2.0)
+    assert not _most_since(server, since_ms)
