--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -20,6 +20,7 @@
 from jasminebeam.model import services
 
 FIRST_PORT = 23_000
+PORT_COUNT = 70
 SITE = sites.Site(
     name='soak',
     region='nordeste-ce',
@@ -80,6 +81,8 @@
     create_fleet : callable
         Returns the processes: with jasminebeam's own interfaces or with
         those of the users' platform.
+    first_port : int
+        First of the `PORT_COUNT` ports that the processes use.
     """
 
     def __init__(
@@ -88,12 +91,13 @@
         duration_s: float,
         directory: pathlib.Path,
         create_fleet: FleetFactory = native_fleet.NativeFleet,
+        first_port: int = FIRST_PORT,
     ) -> None:
         self._seed = seed
         self._duration_s = duration_s
         self._generator = random.Random(seed)
         options = fleet.Options(
-            first_port=FIRST_PORT,
+            first_port=first_port,
             directory=directory,
             with_network=True,
             seed=seed,
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -20,14 +20,29 @@
 
 def free_port() -> int:
     """Return a free loopback port; return each port at most once."""
+    return free_block(1)
+
+
+def free_block(count: int) -> int:
+    """Return the first of successive free ports; see `free_port`."""
     while True:
-        port = FIRST_PORT + next(_offsets) % PORT_COUNT
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
+        first = FIRST_PORT + next(_offsets) % PORT_COUNT
+        block = range(first, first + count)
+        if block[-1] >= FIRST_PORT + PORT_COUNT:
+            continue
+        if all(_is_free(port) for port in block):
+            for _ in block[1:]:
+                next(_offsets)
+            return first
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 def node_settings(
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -12,6 +12,7 @@
 from bench.soak import schedule
 from bench.soak import soak
 from bench import traffic
+from tests import ports
 
 SEED = 1
 DURATION_S = 20.0
@@ -154,7 +155,8 @@
 )
 async def test_seeded_soak_finds_no_violation(tmp_path, create_fleet):
     """Real processes keep the guarantees under the faults of a seed."""
-    created = soak.Soak(SEED, DURATION_S, tmp_path, create_fleet)
+    first_port = ports.free_block(soak.PORT_COUNT)
+    created = soak.Soak(SEED, DURATION_S, tmp_path, create_fleet, first_port)
     report = await created.run()
     assert report.events
     assert report.outcomes['answered']
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -19,3 +19,11 @@
     chosen = [ports.free_port() for _ in range(50)]
     assert max(chosen) < first_ephemeral
     assert len(set(chosen)) == len(chosen)
+
+
+def test_blocks_do_not_overlap():
+    """Ports of a block are not returned again."""
+    blocks = [ports.free_block(7) for _ in range(20)]
+    taken = {first + index for first in blocks for index in range(7)}
+    assert len(taken) == 140
+    assert ports.free_port() not in taken
