--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -310,8 +310,9 @@
 
 
 def _is_ready_at(viewer, node_id):
-    member = viewer.routes.get_or_create_state(node_id).member
-    return member.phase is upstreams.Phase.READY
+    """Return True if a node knows the ready upstream of another one."""
+    member = viewer.routes.members_of('fees').get(node_id)
+    return member is not None and member.phase is upstreams.Phase.READY
 
 
 async def _send_until(cluster, condition):
