--- a/review/harness.py
+++ b/review/harness.py
@@ -65,7 +65,6 @@
     def __init__(self, port: int, record: Record) -> None:
         super().__init__(port)
         self.refused_ports: set[int] = set()
-        self.silent_ports: set[int] = set()
         self.watching: dict[int, int] = {}
         self._record = record
 
@@ -82,8 +81,6 @@
         port = request.transport.get_extra_info('sockname')[1]
         if port in self.refused_ports:
             return web.Response(status=REFUSED_STATUS)
-        if port in self.silent_ports:
-            await asyncio.Event().wait()
         if request.path != '/v1/kv-watch':
             return await handler(request)
         self.watching[port] = self.watching.get(port, 0) + 1
@@ -93,9 +90,6 @@
             self.watching[port] -= 1
         if port in self.refused_ports:
             return web.Response(status=REFUSED_STATUS)
-        if port in self.silent_ports:
-            # The response is lost, and nothing follows on the connection.
-            await asyncio.Event().wait()
         return response
 
     async def configure(self, version: int, **options: typing.Any) -> float:
