--- a/review/harness.py
+++ b/review/harness.py
@@ -296,9 +296,9 @@
 class Case:
     """Store, machines and clients of one case."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, trouble: bool) -> None:
         self.record = Record(folder)
-        self.trouble = os.environ.get('TROUBLE', '1') != '0'
+        self.trouble = trouble
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         self.role = deploy['roles']['node']
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
@@ -435,11 +435,13 @@
 _taken: set[int] = set()
 
 
-def run(play: typing.Any, folder: pathlib.Path) -> typing.NoReturn:
+def run(
+    play: typing.Any, folder: pathlib.Path, trouble: bool
+) -> typing.NoReturn:
     """Play a case and exit with its result."""
 
     async def main() -> int:
-        case = Case(folder)
+        case = Case(folder, trouble)
         try:
             await case.open()
             async with asyncio.timeout(LIMIT_S):
