Attach a replaced upstream only by its own heartbeat

Cause: a health check proves who answers, but not to which service the upstream belongs. The node attached the new identity to the service of the upstream that had ended: event 200 with the former service stands in the same millisecond as event 202, 0.5 s before the settings were reloaded. A second path had the same cause: while nothing is attached, the node looks for the upstream of its settings ten times a second, and they may be older than the upstream. Ruled out: ingress nodes that send to a detached address, since the requests carried the new identity, which only the sidecar can set.

Change: an identity without a heartbeat attaches nothing. The upstream of the settings is looked for only in the first two seconds, for which an address stays free, until a connection is refused or an upstream is attached. Event 200 names the identity and the start of the upstream, which it left out.

test_foreign_upstream_ran_requests_until_its_first_heartbeat and test_node_took_a_later_upstream_for_the_configured_service failed before and pass now. test_misdirected_request_does_not_run asserted the fault: it wanted the new identity in service without any heartbeat. It now wants it out of service until the heartbeat, with no request run, and in service after it.

--- a/jasminebeam/model/upstreams.py
+++ b/jasminebeam/model/upstreams.py
@@ -137,11 +137,17 @@
         Identity of the upstream that answered; empty if it gave none.
     report : LoadReport or None
         Load, if the answer contains it.
+    listening : bool
+        False if the connection was refused, so no process has the address.
     """
 
     healthy: bool
     upstream_id: str = ''
     report: LoadReport | None = None
+    listening: bool = True
+
+
+NOT_LISTENING = Health(healthy=False, listening=False)
 
 
 class LoadSample(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -107,6 +107,7 @@
         self.services = directory.ServiceDirectory()
         self.route_sets = route_sets.RouteDirectory(self.generator)
         self.upstream_lifecycle = lifecycle.UpstreamLifecycle()
+        self._discovery = lifecycle.StartupDiscovery(clock.monotonic_ms())
         self.routes = table.RoutingTable(
             table.Locality(
                 node_section.node_id,
@@ -217,6 +218,7 @@
 
     def attach_upstream(self, announcement: upstreams.Announcement) -> None:
         """Put the local upstream into service."""
+        self._discovery.close()
         upstream_client = self._create_client(
             announcement, self.sidecar.on_report, self.sidecar.on_notice
         )
@@ -235,6 +237,8 @@
             events.Event.UPSTREAM_ANNOUNCED,
             service=announcement.service,
             slots=announcement.slots,
+            upstream=announcement.upstream_id,
+            started_ms=announcement.started_ms,
         )
         self.sidecar.adopt_pending_notice()
 
@@ -273,7 +277,7 @@
         health = await self.sidecar.check_health()
         announcement = self.sidecar.announcement
         if announcement is not None and announcement.load_path:
-            self._record_reachability(health is not None)
+            self._record_reachability(health is not None and health.listening)
         upstream_lifecycle = self.upstream_lifecycle
         if (
             health is None
@@ -287,13 +291,13 @@
         self._apply_action(upstream_lifecycle.on_identity_mismatch())
         if health.healthy:
             self._apply_action(
-                upstream_lifecycle.on_identity(
-                    health.upstream_id, current_announcement
-                )
+                upstream_lifecycle.on_identity(health.upstream_id)
             )
 
     async def _find_upstream(self) -> None:
         """Put an upstream that started before the node into service."""
+        if not self._discovery.is_open(clock.monotonic_ms()):
+            return
         configured = self._adapter.configured_upstream(self)
         if configured is None:
             return
@@ -310,13 +314,18 @@
             await health_client.close()
         if self.sidecar.announcement is not None or health is None:
             return
+        if not health.listening:
+            self._discovery.close()
         if not (health.healthy and health.upstream_id and reports):
             return
-        announcement = dataclasses.replace(configured, slots=reports[0].slots)
-        upstream_lifecycle = self.upstream_lifecycle
-        self._apply_action(
-            upstream_lifecycle.on_identity(health.upstream_id, announcement)
+        if not self._discovery.is_open(clock.monotonic_ms()):
+            return
+        announcement = dataclasses.replace(
+            configured,
+            slots=reports[0].slots,
+            upstream_id=health.upstream_id,
         )
+        self._apply_action(self.upstream_lifecycle.on_found(announcement))
         self.sidecar.on_report(reports[0])
         self.sidecar.on_notice(
             self.sidecar.announcement,
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -211,7 +211,10 @@
             return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
 
     async def check_health(self) -> upstreams.Health | None:
-        """Run a health check; return None if there is no path or answer."""
+        """Run a health check; return None if there is no path or answer.
+
+        A refused connection is a result: it shows that nothing listens.
+        """
         target = self._dialect.health_target(self.announcement)
         if not target:
             return None
@@ -223,6 +226,9 @@
                     body = await http_client.read_body(
                         response, MAX_HEALTH_BYTES
                     )
+        except aiohttp.ClientConnectorError as error:
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            return upstreams.NOT_LISTENING if refused else None
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
         health = self._dialect.read_health(
--- a/jasminebeam/upstreams/lifecycle.py
+++ b/jasminebeam/upstreams/lifecycle.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 from jasminebeam.model import upstreams
 
@@ -41,6 +42,36 @@
         return self.announcement.started_ms
 
 
+# Minimum time after the end of an upstream before another one may get its
+# address.
+ADDRESS_REUSE_MS = 2_000.0
+
+
+class StartupDiscovery:
+    """Decides whether a health check may find the configured upstream.
+
+    The settings name the service of the upstream that runs beside a node
+    when the node starts. Any later upstream at the address may belong to
+    another service, and announces itself.
+
+    Parameters
+    ----------
+    started_ms : float
+        Monotonic time at which the node started.
+    """
+
+    def __init__(self, started_ms: float) -> None:
+        self._end_ms = started_ms + ADDRESS_REUSE_MS
+
+    def is_open(self, now_ms: float) -> bool:
+        """Return True while the upstream of the settings may be found."""
+        return now_ms < self._end_ms
+
+    def close(self) -> None:
+        """End the discovery: the upstream was seen, or nothing listens."""
+        self._end_ms = -math.inf
+
+
 class UpstreamLifecycle:
     """Identifies the current upstream, even if older messages arrive late.
 
@@ -100,17 +131,16 @@
         self._draining = True
         return Action.DRAIN
 
-    def on_identity(
-        self, upstream_id: str, fallback: upstreams.Announcement
-    ) -> Action:
+    def on_identity(self, upstream_id: str) -> Action:
         """Return the action that the identity of a healthy upstream requires.
 
+        A health check does not name a service. An upstream whose heartbeat
+        has not arrived may belong to any, so it stays out of service.
+
         Parameters
         ----------
         upstream_id : str
             Identity that the health check returned.
-        fallback : Announcement
-            Address of an upstream that has not sent a heartbeat yet.
         """
         current = self.current
         if (
@@ -123,12 +153,22 @@
             heartbeat is None
             or heartbeat.announcement.upstream_id != upstream_id
         ):
-            announcement = dataclasses.replace(
-                fallback, upstream_id=upstream_id
-            )
-            heartbeat = Heartbeat(announcement, 0, draining=False)
+            return Action.NOTHING
         return self._attach(heartbeat)
 
+    def on_found(self, announcement: upstreams.Announcement) -> Action:
+        """Return the action if an upstream was running before the node.
+
+        Parameters
+        ----------
+        announcement : Announcement
+            Service and address from the settings, and the identity that the
+            health check returned.
+        """
+        if self.current is not None:
+            return Action.NOTHING
+        return self._attach(Heartbeat(announcement, 0, draining=False))
+
     def on_identity_mismatch(self) -> Action:
         """Return the action if another upstream answers the health check."""
         if self.current is None:
