End the poll of a watch when its answer may be lost

Requests were handled by an older configuration than the confirmed one, and added routes were not served, for many seconds after an outage of the store. The bound is 2 s.

Cause: a connection on which an answer is lost returns nothing further, and nothing but its answer or its timeout of 27 s ended a poll. The renewals of the same process failed and succeeded meanwhile, without effect. Ruled out: changes lost between nodes (all six were late together), and the delays of retries (1.2 s at most).

Change: a failed call of a delegate ends its poll, and so does the first success after a failure; the next poll resumes from the revision seen, so it returns what was missed. A list of the seeds shows a change that no other sign tells of. Delegates call the store every 2 s, mostly by such lists, in place of a renewal every 3.3 s. Event 507 tells of each poll that is given up. The watch has a module of its own.

Each member record says whether the store answers the node.

--- a/bench/standins/platform_store.py
+++ b/bench/standins/platform_store.py
@@ -70,6 +70,7 @@
         self._leases: dict[int, tuple[float, int]] = {}
         self._next_lease_id = 1
         self._changed = asyncio.Condition()
+        self._losses = 0
         application = web.Application()
         application.add_routes(
             [
@@ -132,6 +133,10 @@
             self._compacted_revision = self._revision
             self._changed.notify_all()
 
+    def lose_waiting_answers(self) -> None:
+        """Leave the requests that are waiting now without a response."""
+        self._losses += 1
+
     @web.middleware
     async def _inject_faults(
         self,
@@ -148,7 +153,10 @@
             await asyncio.Event().wait()
         if self.faults.refuse_status:
             return web.Response(status=self.faults.refuse_status)
+        losses = self._losses
         response = await handler(request)
+        if self._losses != losses:
+            await asyncio.Event().wait()
         if operation == 'kv-txn' and self.faults.lose_write_answers:
             self.faults.lose_write_answers -= 1
             request.transport.abort()
--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -7,9 +7,8 @@
 import random
 import typing
 
-from returns import result
-
-from jasminebeam.configuration import routes as routes_module
+from jasminebeam.configuration import delegates
+from jasminebeam.configuration import route_watch
 from jasminebeam.configuration import seeds
 from jasminebeam.store import availability
 from jasminebeam.store import store
@@ -19,11 +18,6 @@
 if typing.TYPE_CHECKING:
     from jasminebeam.model import routes
 
-# A change must be in force within seconds after the store is available
-# again, so the maximum back-off stays well below one second.
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.8
-
 POLL_INTERVAL_S = 1.0
 
 # When a whole fleet starts, no seed is registered. The nodes wait for a
@@ -31,10 +25,6 @@
 # join through them.
 START_SPREAD_S = 2.0
 
-# Pause between a change and the next poll. In a series of changes, one poll
-# then returns several of them.
-WATCH_PAUSE_S = 0.8
-
 # Joins without an answer after which a node assumes that the registered
 # seeds are gone, and registers itself.
 MAX_UNANSWERED_JOINS = 3
@@ -43,9 +33,21 @@
 # itself for a delegate. It becomes one only after this many polls in a row.
 POLLS_BEFORE_DELEGATE = 3
 
-# A delegate lists the seeds once in this many renewals, so that two parts of
-# a fleet that started apart find each other.
-RENEWALS_PER_LISTING = 3
+# Interval at which a delegate calls the store besides its watch, and the
+# share of it by which an interval is varied. The calls of all delegates
+# together then spread over time.
+CHECK_INTERVAL_S = 2.0
+CHECK_JITTER = 0.25
+
+# Each third of these calls renews the lease; the others list the seeds.
+CALLS_PER_RENEWAL = 3
+
+# Successive answers after which a delegate has contact with the store again.
+ANSWERS_BEFORE_CONTACT = 2
+
+# Interval at which a node that has lost contact, and is no regular delegate,
+# tests whether the store answers again.
+CONTACT_TEST_INTERVAL_S = 4.0
 
 # Reads per second of the fleet as a whole while its nodes have no routes.
 # Each node reads with a probability that falls with the number of members.
@@ -89,8 +91,15 @@
     def knows(self, address: str) -> bool:
         """Return True if a member has this peer address."""
 
+    @property
+    def has_store_contact(self) -> bool:
+        """Whether the store answers this node, as it has published."""
+
+    def publish_contact(self, has_contact: bool) -> None:
+        """Publish whether the store answers this node."""
 
-Decode = typing.Callable[[bytes], 'result.Result[routes.RouteSet, str]']
+    async def wait_for_delegates(self, timeout_s: float) -> None:
+        """Wait until the delegates may have changed, or for a timeout."""
 
 
 class RouteWatcher:
@@ -109,9 +118,9 @@
     decode : callable
         Returns the route set that a value holds, or the reason why the
         value is invalid.
-    is_candidate : callable
-        Returns whether this node is one of the delegates of its failure
-        domain, as far as its members are known.
+    duty : callable
+        Returns the duty of this node for its failure domain, as far as the
+        members of the domain are known.
     on_routes : callable
         Receives each valid route set.
     has_routes : callable
@@ -128,30 +137,42 @@
         self,
         backend: store.Store,
         options: Options,
-        decode: Decode,
-        is_candidate: typing.Callable[[], bool],
+        decode: route_watch.Decode,
+        duty: typing.Callable[[], delegates.Duty],
         on_routes: typing.Callable[[routes.RouteSet], None],
         has_routes: typing.Callable[[], bool],
         members: Membership,
         generator: random.Random,
         log: events.EventLog,
     ) -> None:
-        self._store = backend
         self._options = options
-        self._decode = decode
-        self._is_candidate = is_candidate
-        self._on_routes = on_routes
+        self._duty = duty
         self._has_routes = has_routes
         self._members = members
         self._generator = generator
         self._log = log
-        self._availability = availability.AvailabilityLog(log)
+        self._availability = availability.AvailabilityLog(
+            log, self._on_availability
+        )
         self._seeds = seeds.SeedRegistry(
             backend, options.local, options.lease_s, self._availability
         )
+        self._watch = route_watch.RouteWatch(
+            backend,
+            options.key,
+            decode,
+            on_routes,
+            self._availability,
+            generator,
+            log,
+        )
         self._polls_as_candidate = 0
         self._joins = 0
         self._found_seeds = False
+        self._serving = False
+        # Successive answers of the store to this node as a delegate.
+        self._answers = 0
+        self._next_test_s = 0.0
 
     async def run(self) -> None:
         """Join the fleet; act as a delegate whenever this node is one."""
@@ -162,10 +183,13 @@
             if self._members.has_no_peers:
                 is_delegate = await self._join()
             else:
-                is_delegate = self._is_settled_candidate()
+                is_delegate = self._is_settled_delegate()
             if is_delegate:
-                await self._serve_as_delegate()
-            await asyncio.sleep(POLL_INTERVAL_S * self._jitter())
+                await self._serve_as_delegate(self._duty())
+            await self._members.wait_for_delegates(
+                POLL_INTERVAL_S * self._jitter()
+            )
+            await self._test_contact()
 
     async def read_missing_routes(self) -> None:
         """Read the routes once if no peer of a started fleet has them.
@@ -183,7 +207,7 @@
             else:
                 reads = self._generator.random() < self._read_probability()
             if reads:
-                await self._read_routes()
+                await self._watch.read()
             await asyncio.sleep(READ_INTERVAL_S * self._jitter())
 
     def _read_probability(self) -> float:
@@ -220,98 +244,107 @@
         self._members.join(chosen)
         return len(chosen)
 
-    def _is_settled_candidate(self) -> bool:
+    def _is_settled_delegate(self) -> bool:
         self._joins = 0
-        if not self._is_candidate():
+        duty = self._duty()
+        if duty is delegates.Duty.SUBSTITUTE:
+            return True
+        if duty is delegates.Duty.NONE:
             self._polls_as_candidate = 0
             return False
         self._polls_as_candidate += 1
         return self._polls_as_candidate >= POLLS_BEFORE_DELEGATE
 
-    async def _serve_as_delegate(self) -> None:
+    async def _serve_as_delegate(self, duty: delegates.Duty) -> None:
         watching = asyncio.create_task(
-            supervision.supervise(self._watch, self._log)
+            supervision.supervise(self._watch.run, self._log)
         )
-        self._log.write(events.Event.RELAY_ACQUIRED)
+        self._log.write(events.Event.RELAY_ACQUIRED, duty=duty.value)
+        self._serving = True
         try:
-            await self._hold_registration()
+            await self._call_until_relieved()
         finally:
+            self._serving = False
             watching.cancel()
             await asyncio.gather(watching, return_exceptions=True)
             self._log.write(events.Event.RELAY_LOST)
 
-    async def _hold_registration(self) -> None:
-        """Stay registered until other nodes are the delegates.
+    async def _call_until_relieved(self) -> None:
+        """Call the store until other nodes are the delegates.
 
-        The registration is not revoked: it ends with its lease, and until
+        A registration is not revoked: it ends with its lease, and until
         then the node answers as a seed.
         """
         lease_id = 0
-        renewals = 0
-        while self._members.has_no_peers or self._is_candidate():
-            if not lease_id:
-                lease_id = await self._seeds.register()
-            elif not await self._seeds.renew(lease_id):
-                lease_id = 0
-                continue
-            renewals += 1
+        calls = 0
+        while self._members.has_no_peers or (
+            self._duty() is not delegates.Duty.NONE
+        ):
+            renews = calls % CALLS_PER_RENEWAL == 0
+            if self._members.has_no_peers or self._is_regular():
+                lease_id = await self._keep_registered(lease_id, renews)
+            calls += 1
             if self._members.has_no_peers:
                 await self._join()
-            elif renewals % RENEWALS_PER_LISTING == 1:
+            elif not (lease_id and renews):
                 await self._contact_seeds(allow_stale=True)
-            await asyncio.sleep(self._renewal_interval_s(lease_id))
+                self._watch.compare(
+                    self._seeds.store_revision, self._seeds.revisions
+                )
+            self._publish_contact()
+            await self._members.wait_for_delegates(
+                self._call_interval_s(lease_id)
+            )
         self._polls_as_candidate = 0
 
-    def _renewal_interval_s(self, lease_id: int) -> float:
-        if not lease_id or self._members.has_no_peers:
+    async def _keep_registered(self, lease_id: int, renews: bool) -> int:
+        """Register, or renew the lease if a renewal is due."""
+        if lease_id and not renews:
+            return lease_id
+        if lease_id and await self._seeds.renew(lease_id):
+            return lease_id
+        return await self._seeds.register()
+
+    def _call_interval_s(self, lease_id: int) -> float:
+        if self._members.has_no_peers or (not lease_id and self._is_regular()):
             return POLL_INTERVAL_S * self._jitter()
-        return self._options.lease_s / 3
+        spread = CHECK_JITTER * (2 * self._generator.random() - 1)
+        return CHECK_INTERVAL_S * (1 + spread)
 
-    async def _watch(self) -> None:
-        """Read the key and watch its changes."""
-        delay_s = RETRY_MIN_S
-        while True:
-            revision = await self._read_routes()
-            if revision:
-                delay_s = RETRY_MIN_S
-                async for item in self._store.watch(
-                    self._options.key, revision + 1
-                ):
-                    self._apply(item)
-                    await asyncio.sleep(WATCH_PAUSE_S * self._jitter())
-            await asyncio.sleep(delay_s * self._jitter())
-            delay_s = min(RETRY_MAX_S, delay_s * 2)
-
-    async def _read_routes(self) -> int:
-        """Apply the routes in the store; return the store's revision.
-
-        The result is 0 if the store is unavailable.
-        """
-        listing = await self._store.list(self._options.key)
-        self._availability.record(listing)
-        if not isinstance(listing, result.Success):
-            return 0
-        found = listing.unwrap()
-        for item in found.items:
-            self._apply(item)
-        return found.revision
-
-    def _apply(self, item: store.KeyValue) -> None:
-        if item.key != self._options.key:
+    def _is_regular(self) -> bool:
+        return self._duty() is delegates.Duty.REGULAR
+
+    def _on_availability(self, available: bool) -> None:
+        """Start the watch again after an outage, and report the outage."""
+        if not self._serving:
             return
-        decoded = self._decode(item.value)
-        problem = ''
-        if isinstance(decoded, result.Success):
-            found = decoded.unwrap()
-            problem = routes_module.check(found)
+        if available:
+            self._watch.give_up('store_available')
         else:
-            problem = decoded.failure()
-        if problem:
-            self._log.write(
-                events.Event.CONFIG_REFUSED, key=item.key, cause=problem
-            )
+            self._watch.give_up('store_unavailable')
+            self._publish_contact()
+
+    def _publish_contact(self) -> None:
+        """Publish a lost contact at once, and its return when it lasts."""
+        if not self._availability.available:
+            self._answers = 0
+        else:
+            self._answers += 1
+        has_contact = self._answers > 0
+        if has_contact == self._members.has_store_contact:
+            return
+        if not has_contact or self._answers >= ANSWERS_BEFORE_CONTACT:
+            self._members.publish_contact(has_contact)
+
+    async def _test_contact(self) -> None:
+        """Publish that the store answers a node that had lost contact."""
+        now_s = asyncio.get_running_loop().time()
+        if self._members.has_store_contact or now_s < self._next_test_s:
             return
-        self._on_routes(found)
+        interval_s = CONTACT_TEST_INTERVAL_S * self._jitter()
+        self._next_test_s = now_s + interval_s
+        if await self._contact_seeds(allow_stale=True) is not None:
+            self._members.publish_contact(True)
 
     def _jitter(self) -> float:
         return 0.5 + self._generator.random()
--- a/jasminebeam/configuration/seeds.py
+++ b/jasminebeam/configuration/seeds.py
@@ -102,6 +102,9 @@
         self._local = local
         self._lease_s = lease_s
         self._availability = availability_log
+        # Revisions of the store and of the seeds, as of the latest list.
+        self.store_revision = 0
+        self.revisions: tuple[int, ...] = ()
 
     async def list(self, allow_stale: bool) -> list[Seed] | None:
         """Return the seeds; None if the store is unavailable.
@@ -116,7 +119,10 @@
         self._availability.record(listing)
         if not isinstance(listing, result.Success):
             return None
-        found = map(_seed, listing.unwrap().items)
+        items = listing.unwrap().items
+        self.store_revision = listing.unwrap().revision
+        self.revisions = tuple(item.revision for item in items)
+        found = map(_seed, items)
         return [seed for seed in found if seed is not None]
 
     async def register(self) -> int:
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
 import typing
@@ -78,6 +79,7 @@
         self._counters = counters
         self._links: control.ControlLinks | None = None
         self._nonces = itertools.count(1)
+        self._delegate_lost = asyncio.Event()
         self._pending_queries: dict[int, asyncio.Future[int]] = {}
 
     @property
@@ -111,6 +113,26 @@
         """Return True if a member has this peer address."""
         return any(member.address == address for member in self._state.members)
 
+    @property
+    def has_store_contact(self) -> bool:
+        """Whether the store answers this node, as it has published."""
+        return self.local_member.has_store_contact
+
+    def publish_contact(self, has_contact: bool) -> None:
+        """Publish whether the store answers this node."""
+        self.publish(has_store_contact=has_contact)
+
+    async def wait_for_delegates(self, timeout_s: float) -> None:
+        """Wait until the delegates may have changed, or for a timeout.
+
+        A member that loses contact with the store, and one of the own
+        failure domain that stops or fails, may change them.
+        """
+        self._delegate_lost.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._delegate_lost.wait()
+
     def join(self, seeds: typing.Sequence[str]) -> None:
         """Add these peers to the seeds and request their tables."""
         self.add_seeds(seeds)
@@ -237,6 +259,11 @@
         for member in effects.members:
             self._log_member(member)
             self._on_member(member)
+            if not member.has_store_contact or (
+                member.status
+                and member.failure_domain == self.local_member.failure_domain
+            ):
+                self._delegate_lost.set()
         for revision in effects.revisions:
             self._on_revision(revision)
         if effects.route_set is not None:
--- a/jasminebeam/model/upstreams.py
+++ b/jasminebeam/model/upstreams.py
@@ -209,6 +209,9 @@
     slots, cold_start_ms, ready_ms : int
         Slots, duration of the cold start, and wall-clock time of the
         announcement in ms.
+    has_store_contact : bool
+        False if the store has not answered the node's latest call. Only
+        nodes that use the store for their failure domain publish it.
     """
 
     node_id: str
@@ -223,3 +226,4 @@
     slots: int = 0
     cold_start_ms: int = 0
     ready_ms: int = 0
+    has_store_contact: bool = True
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -14,6 +14,7 @@
 from jasminebeam.admission import rate_limit
 from jasminebeam.callers import http
 from jasminebeam import clock
+from jasminebeam.configuration import delegates
 from jasminebeam.configuration import directory
 from jasminebeam.configuration import relay
 from jasminebeam.configuration import routes as route_sets
@@ -488,6 +489,18 @@
         )
         return local_member.node_id in candidate_ids
 
+    def delegate_duty(self) -> delegates.Duty:
+        """Return the duty of this node for its failure domain."""
+        local_member = self.membership.local_member
+        return delegates.duty_of(
+            local_member.node_id,
+            delegates.rank(
+                local_member.failure_domain, self.membership.members()
+            ),
+            self._settings.platform.relays_per_domain
+            * relay.CANDIDATES_PER_RELAY,
+        )
+
     def _on_data(
         self,
         message: messages.Message,
--- a/jasminebeam/platform/adapter.py
+++ b/jasminebeam/platform/adapter.py
@@ -109,7 +109,7 @@
             backend,
             route_watcher.Options(wire.CONFIGURATION_KEY, local, SEED_LEASE_S),
             configuration.Decoder(BUDGETS).decode,
-            node.is_relay_candidate,
+            node.delegate_duty,
             node.membership.adopt_routes,
             lambda: node.route_sets.revision > 0,
             node.membership,
--- a/jasminebeam/store/availability.py
+++ b/jasminebeam/store/availability.py
@@ -17,11 +17,18 @@
     ----------
     log : EventLog
         Receives an event for each change of availability.
+    on_change : callable
+        Receives the new availability.
     """
 
-    def __init__(self, log: events.EventLog) -> None:
+    def __init__(
+        self,
+        log: events.EventLog,
+        on_change: typing.Callable[[bool], None] = lambda available: None,
+    ) -> None:
         self._log = log
-        self._available = True
+        self._on_change = on_change
+        self.available = True
 
     def record(
         self, outcome: result.Result[typing.Any, store.StoreError]
@@ -31,12 +38,13 @@
             isinstance(outcome, result.Success)
             or outcome.failure() is not store.StoreError.UNAVAILABLE
         )
-        if available == self._available:
+        if available == self.available:
             return
-        self._available = available
+        self.available = available
         event = (
             events.Event.STORE_AVAILABLE
             if available
             else events.Event.STORE_UNAVAILABLE
         )
         self._log.write(event)
+        self._on_change(available)
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -92,6 +92,9 @@
     STORE_UNAVAILABLE = EventKind(504, logbook.WARNING, 'store unavailable')
     STORE_AVAILABLE = EventKind(505, logbook.INFO, 'store available again')
     ROUTES_APPLIED = EventKind(506, logbook.INFO, 'route set in force')
+    WATCH_GIVEN_UP = EventKind(
+        507, logbook.WARNING, 'watch of the store given up'
+    )
     UPSTREAM_EJECTED = EventKind(
         600, logbook.WARNING, 'upstream ejected from selection'
     )
--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -4,16 +4,19 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 
+import msgspec
 import pytest
 from returns import result
 
 from bench import virtual_time
+from jasminebeam.configuration import delegates
 from jasminebeam.configuration import route_watcher
 from jasminebeam.configuration import seeds
 from jasminebeam.model import routes
-from jasminebeam.routing import subset
+from jasminebeam.model import upstreams
 from jasminebeam.store import store
 from jasminebeam.telemetry import events
 from jasminebeam.telemetry import metrics
@@ -21,6 +24,12 @@
 DOMAINS = 5
 LEASE_S = 10
 STORE_DELAY_S = 0.02
+PUSH_DELAY_S = 0.05
+# Timeout of a call, and of a poll whose answer is lost.
+TIMEOUT_S = 1.0
+WATCH_TIMEOUT_S = 27.0
+# Bound on the time until a confirmed change is in force.
+APPLY_S = 2.0
 JOIN_DELAY_S = 0.05
 # Cost of a stale read and of a renewal, relative to other calls.
 CHEAP_RATIO = 0.1
@@ -40,7 +49,16 @@
         self.items = {}
         self.leases = {}
         self.revision = 1
+        # Time and revision of each write.
+        self.writes = [(0.0, 1)]
         self.down = False
+        # No call gets an answer, and that of each waiting one is lost.
+        self.silent = False
+        self.losses = 0
+        # Names of nodes that the store turns away, and of those that it
+        # cannot be reached from.
+        self.refused = set()
+        self.cut = set()
         self.stale_s = 0.0
         self.changed = asyncio.Condition()
 
@@ -80,12 +98,18 @@
             for key, (value, _, revision, written_s) in self.items.items()
             if key.startswith(prefix) and written_s <= latest_s
         )
-        return result.Success(store.Listing(self.revision, found))
+        revision = max(
+            revision
+            for written_s, revision in self.writes
+            if written_s <= max(0.0, latest_s)
+        )
+        return result.Success(store.Listing(revision, found))
 
     async def write(self, key, value, lease=0):
         """Write a key."""
         self.revision += 1
         self.items[key] = (value, lease, self.revision, self.loop.time())
+        self.writes.append((self.loop.time(), self.revision))
         async with self.changed:
             self.changed.notify_all()
 
@@ -140,6 +164,72 @@
         )
 
 
+class NodeStore:
+    """The store as one node reaches it.
+
+    Parameters
+    ----------
+    shared : CountingStore
+        The store.
+    node : FleetNode
+        Node that calls it.
+    """
+
+    def __init__(self, shared, node):
+        self._shared = shared
+        self._node = node
+
+    def _is_refused(self):
+        return self._node.node_id in self._shared.refused
+
+    def _is_silent(self):
+        return self._shared.silent or self._node.node_id in self._shared.cut
+
+    async def _call(self, call):
+        lost = self._shared.losses
+        if self._is_silent() or self._is_refused():
+            call.close()
+            delay_s = TIMEOUT_S if self._is_silent() else STORE_DELAY_S
+            await asyncio.sleep(delay_s)
+            return UNAVAILABLE
+        answer = await call
+        if lost != self._shared.losses:
+            await asyncio.sleep(TIMEOUT_S)
+            return UNAVAILABLE
+        return answer
+
+    async def list(self, prefix, allow_stale=False):
+        """Return the keys under a prefix."""
+        return await self._call(self._shared.list(prefix, allow_stale))
+
+    async def compare_and_set(self, *args):
+        """Write a key."""
+        return await self._call(self._shared.compare_and_set(*args))
+
+    async def grant_lease(self, ttl_s):
+        """Grant a lease."""
+        return await self._call(self._shared.grant_lease(ttl_s))
+
+    async def keep_alive(self, lease_id):
+        """Renew a lease."""
+        return await self._call(self._shared.keep_alive(lease_id))
+
+    async def watch(self, prefix, from_revision):
+        """Yield changes; a lost answer shows only at the poll's timeout."""
+        lost = self._shared.losses
+        if self._is_silent():
+            await asyncio.sleep(WATCH_TIMEOUT_S)
+        if self._is_refused():
+            return
+        async for item in self._shared.watch(prefix, from_revision):
+            if self._is_silent() or lost != self._shared.losses:
+                await asyncio.sleep(WATCH_TIMEOUT_S)
+                return
+            if self._is_refused():
+                return
+            yield item
+
+
 class Group:
     """Nodes that know each other, and their newest routes."""
 
@@ -147,33 +237,34 @@
         self.members = {node}
         self.addresses = {node.address}
         self.revision = 0
-        self._delegates = {}
-
-    def delegates(self, domain):
-        """Return the delegates of a domain among the members."""
-        if domain not in self._delegates:
-            names = [
-                member.node_id
-                for member in self.members
-                if member.domain == domain
-            ]
-            self._delegates[domain] = subset.choose(
-                domain, names, DELEGATES_PER_DOMAIN
+        self._ranked = {}
+
+    def ranked(self, domain):
+        """Return the members of a domain that may become delegates."""
+        if domain not in self._ranked:
+            self._ranked[domain] = delegates.rank(
+                domain, [member.record for member in self.members]
             )
-        return self._delegates[domain]
+        return self._ranked[domain]
+
+    def on_change(self):
+        """Forget the ranking, and tell the members of a loss."""
+        self._ranked.clear()
+        for member in self.members:
+            member.delegate_lost.set()
 
     def discard(self, node):
         """Remove a node."""
         self.members.discard(node)
         self.addresses.discard(node.address)
-        self._delegates.clear()
+        self._ranked.clear()
 
     def merge(self, other):
         """Take over the members and the routes of another group."""
         for member in other.members:
             member.group = self
         self.members |= other.members
-        self._delegates.clear()
+        self._ranked.clear()
         self.addresses |= other.addresses
         self.revision = max(self.revision, other.revision)
 
@@ -189,6 +280,10 @@
         self.group = Group(self)
         self.task = None
         self.up = True
+        self.delegate_lost = asyncio.Event()
+        self.record = upstreams.Member(
+            self.node_id, self.address, self.domain, 'r', 1, 1
+        )
 
     @property
     def revision(self):
@@ -224,9 +319,34 @@
         if small is not large:
             large.merge(small)
 
-    def is_candidate(self):
+    def duty(self):
+        """Return the duty of the node among the known members."""
+        return delegates.duty_of(
+            self.node_id, self.group.ranked(self.domain), DELEGATES_PER_DOMAIN
+        )
+
+    def is_delegate(self):
         """Return True if the node is a delegate among the known members."""
-        return self.node_id in self.group.delegates(self.domain)
+        return self.duty() is delegates.Duty.REGULAR
+
+    @property
+    def has_store_contact(self):
+        """Whether the store answers the node, as it has published."""
+        return self.record.has_store_contact
+
+    def publish_contact(self, has_contact):
+        """Change the record; all known members receive it after a delay."""
+        self.record = msgspec.structs.replace(
+            self.record, has_store_contact=has_contact
+        )
+        self.fleet.loop.call_later(PUSH_DELAY_S, self.group.on_change)
+
+    async def wait_for_delegates(self, timeout_s):
+        """Wait for a loss, or for a timeout."""
+        self.delegate_lost.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.delegate_lost.wait()
 
     def on_routes(self, route_set):
         """Adopt routes; all known members receive them."""
@@ -261,14 +381,14 @@
         node.up = True
         node.group = Group(node)
         watcher = route_watcher.RouteWatcher(
-            self.store,
+            NodeStore(self.store, node),
             route_watcher.Options(
                 ROUTES_KEY,
                 seeds.LocalNode(node.node_id, node.domain, node.address),
                 LEASE_S,
             ),
             lambda value: result.Success(routes.RouteSet(int(value), (), ())),
-            node.is_candidate,
+            node.duty,
             node.on_routes,
             lambda: node.revision > 0,
             node,
@@ -290,6 +410,24 @@
             node.group.discard(node)
             node.group = Group(node)
 
+    def lose_answers(self):
+        """Lose the answer of each call and of each poll in progress."""
+        self.store.losses += 1
+
+    def delegates(self):
+        """Return the names of the regular delegates."""
+        return {node.node_id for node in self.nodes if node.is_delegate()}
+
+    def assert_in_force(self, revision):
+        """Check that all running nodes have a revision in force."""
+        self.advance(APPLY_S)
+        behind = [
+            node.node_id
+            for node in self.nodes
+            if node.up and node.revision != revision
+        ]
+        assert not behind
+
     def write_routes(self, revision):
         """Write a route set as operators do."""
         value = str(revision).encode()
@@ -393,9 +531,9 @@
     fleet = create_fleet(60)
     fleet.write_routes(1)
     fleet.advance(20.0)
-    delegates = [node for node in fleet.nodes if node.is_candidate()]
-    assert len(delegates) == _delegates_expected()
-    fleet.kill(delegates)
+    killed = [node for node in fleet.nodes if node.is_delegate()]
+    assert len(killed) == _delegates_expected()
+    fleet.kill(killed)
     fleet.advance(10.0)
     fleet.write_routes(2)
     fleet.advance(2.0)
@@ -437,6 +575,54 @@
     assert new.revision == 1
 
 
+def _start_fleet(create_fleet, size, seed, stale_s=0.0):
+    fleet = create_fleet(size, seed=seed, stale_s=stale_s)
+    fleet.write_routes(1)
+    fleet.advance(20.0 + seed)
+    return fleet
+
+
+@pytest.mark.parametrize('stale_s', [0.0, 5.0])
+@pytest.mark.parametrize('outage_s', [0.5, 2.0, 5.0])
+@pytest.mark.parametrize('size', [3, 14, 28, 200])
+def test_watch_waited_for_an_answer_that_an_outage_had_lost(
+    create_fleet, size, outage_s, stale_s
+):
+    """A change right after a silent store is in force in time.
+
+    The reads that are cheap may return what the store held before.
+    """
+    fleet = _start_fleet(create_fleet, size, 1, stale_s)
+    fleet.lose_answers()
+    fleet.store.silent = True
+    fleet.advance(outage_s)
+    fleet.store.silent = False
+    fleet.advance(1.0)
+    fleet.write_routes(2)
+    fleet.assert_in_force(2)
+
+
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('size', [14, 28, 200])
+def test_lost_answers_of_all_watches_went_unnoticed(create_fleet, size, seed):
+    """A delegate compares the store's revision with its watch's."""
+    fleet = _start_fleet(create_fleet, size, seed)
+    fleet.lose_answers()
+    fleet.write_routes(2)
+    fleet.assert_in_force(2)
+
+
+@pytest.mark.parametrize('gap_s', [0.1, 0.3, 0.6])
+@pytest.mark.parametrize('size', [3, 14, 200])
+def test_second_of_two_changes_waited_for_the_pause(create_fleet, size, gap_s):
+    """A change within the pause after another one is in force in time."""
+    fleet = _start_fleet(create_fleet, size, 1)
+    fleet.write_routes(2)
+    fleet.advance(gap_s)
+    fleet.write_routes(3)
+    fleet.assert_in_force(3)
+
+
 def test_malformed_seeds_are_ignored(create_fleet):
     """Values that are no addresses must not stop a node from joining."""
     fleet = create_fleet(3)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -383,3 +383,19 @@
     )
     assert upstream.runs.total() <= (0 if leaving else 1)
     assert {status for status, _, _ in answers} <= {200, 503}
+
+
+async def test_change_after_lost_watch_answers_waited_for_the_poll(cluster):
+    """A poll whose answer is lost must not hide a change for 27 s.
+
+    The store gives no answer for a moment and then works again.
+    """
+    created = await cluster.add_host()
+    store = cluster.store
+    await cluster.wait_until(lambda: store.calls['kv-watch'])
+    store.lose_waiting_answers()
+    store.faults.silent = True
+    await cluster.wait_until(lambda: not created.membership.has_store_contact)
+    store.faults.silent = False
+    await store.put('op/config', platform_cluster.configuration(version=2))
+    await cluster.wait_until(lambda: created.route_sets.revision == 2)
