Let other nodes watch while the store does not answer the delegates

Cause: delegates were chosen among the members that are alive, and a node that the store refuses is alive.

Change: a delegate whose call has failed publishes it at once, and the next nodes of its domain read and watch in its place until it has had two answers in a row. The regular delegates go on trying.

--- a/jasminebeam/configuration/delegates.py
+++ b/jasminebeam/configuration/delegates.py
@@ -63,4 +63,7 @@
     """
     if node_id in [member.node_id for member in ranked[:count]]:
         return Duty.REGULAR
-    return Duty.NONE
+    in_contact = [
+        member.node_id for member in ranked if member.has_store_contact
+    ]
+    return Duty.SUBSTITUTE if node_id in in_contact[:count] else Duty.NONE
--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -612,6 +612,44 @@
     fleet.assert_in_force(2)
 
 
+@pytest.mark.parametrize('trouble', ['refused', 'cut'])
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('size', [14, 28, 200])
+def test_delegates_without_the_store_stayed_in_office(
+    create_fleet, size, seed, trouble
+):
+    """Other nodes watch while the store answers no delegate."""
+    fleet = _start_fleet(create_fleet, size, seed)
+    without = getattr(fleet.store, trouble)
+    without |= fleet.delegates()
+    without |= {f'n{index}' for index in range(0, size, 6)}
+    fleet.write_routes(2)
+    fleet.assert_in_force(2)
+    fleet.advance(6.0)
+    fleet.write_routes(3)
+    fleet.assert_in_force(3)
+    without.clear()
+    fleet.advance(10.0)
+    # The substitutes are relieved.
+    duties = [node.duty() for node in fleet.nodes]
+    assert delegates.Duty.SUBSTITUTE not in duties
+    assert all(node.has_store_contact for node in fleet.nodes)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_outage_of_the_whole_store_tries_few_nodes(create_fleet, seed):
+    """Only the ranked members of a domain try the store."""
+    fleet = _start_fleet(create_fleet, 200, seed)
+    fleet.store.silent = True
+    fleet.advance(20.0)
+    tried = [node for node in fleet.nodes if not node.has_store_contact]
+    assert len(tried) <= DOMAINS * delegates.MAX_RANKED
+    fleet.store.silent = False
+    fleet.advance(1.0)
+    fleet.write_routes(2)
+    fleet.assert_in_force(2)
+
+
 @pytest.mark.parametrize('gap_s', [0.1, 0.3, 0.6])
 @pytest.mark.parametrize('size', [3, 14, 200])
 def test_second_of_two_changes_waited_for_the_pause(create_fleet, size, gap_s):
