Refuse odd values where they enter a node

An operator of a similar system reported that one odd entry of another writer (deeply nested, a number too large, a port out of range) ended the machines that read the list. Here the processes lived, but tasks failed: a seed that is no address ended the watch and the registration at each list, numbers of more than 64 bits from a heartbeat, a load report or the configuration could not be sent to peers, and deep nesting raised an error that no reader expected.

Cause: types were checked at the edge, ranges were not, so a value failed later, in a task that has nothing to do with its writer. Ruled out: settings files, callers' time left and rate limits, whose tests passed before.

Change: jasminebeam/inputs.py holds the ranges of numbers, names, hosts and ports, and the one way to decode JSON and msgpack; heartbeats, leave notices, announcements, seeds, the configuration, load reports, answers of the store and frames of peers use it. A malformed value is one log line and one count and names no upstream (events 210 and 508 are new). The transport takes a malformed address of a peer as one that refuses connections.

--- a/jasminebeam/configuration/relay.py
+++ b/jasminebeam/configuration/relay.py
@@ -7,7 +7,6 @@
 import random
 import typing
 
-import msgspec
 from returns import result
 
 from jasminebeam.configuration import changes
@@ -59,7 +58,10 @@
     listing = await backend.list(RELAYS_PREFIX)
     if not isinstance(listing, result.Success):
         return []
-    return [item.value.decode() for item in listing.unwrap().items]
+    return [
+        item.value.decode('ascii', 'replace')
+        for item in listing.unwrap().items
+    ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,7 +221,7 @@
     def _apply(self, item: store.KeyValue) -> None:
         try:
             revision = changes.revision_of(item)
-        except (msgspec.DecodeError, IndexError) as error:
+        except (ValueError, IndexError, RecursionError) as error:
             self._log.write(
                 events.Event.CONFIG_REFUSED, key=item.key, cause=error
             )
--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -155,7 +155,7 @@
             log, self._on_availability
         )
         self._seeds = seeds.SeedRegistry(
-            backend, options.local, options.lease_s, self._availability
+            backend, options.local, options.lease_s, self._availability, log
         )
         self._watch = route_watch.RouteWatch(
             backend,
--- a/jasminebeam/configuration/seeds.py
+++ b/jasminebeam/configuration/seeds.py
@@ -8,7 +8,9 @@
 
 from returns import result
 
+from jasminebeam import inputs
 from jasminebeam.store import store
+from jasminebeam.telemetry import events
 
 if typing.TYPE_CHECKING:
     from jasminebeam.model import upstreams
@@ -89,6 +91,8 @@
         Time to live of the registration.
     availability_log : AvailabilityLog
         Receives the outcome of each call.
+    log : EventLog
+        Receives the malformed entries.
     """
 
     def __init__(
@@ -97,14 +101,18 @@
         local: LocalNode,
         lease_s: int,
         availability_log: availability.AvailabilityLog,
+        log: events.EventLog,
     ) -> None:
         self._store = backend
         self._local = local
         self._lease_s = lease_s
         self._availability = availability_log
+        self._log = log
         # Revisions of the store and of the seeds, as of the latest list.
         self.store_revision = 0
         self.revisions: tuple[int, ...] = ()
+        # Keys and revisions of the malformed entries in that list.
+        self._refused: set[tuple[str, int]] = set()
 
     async def list(self, allow_stale: bool) -> list[Seed] | None:
         """Return the seeds; None if the store is unavailable.
@@ -122,9 +130,23 @@
         items = listing.unwrap().items
         self.store_revision = listing.unwrap().revision
         self.revisions = tuple(item.revision for item in items)
-        found = map(_seed, items)
+        found = [_seed(item) for item in items]
+        self._log_refused(
+            item
+            for item, seed in zip(items, found, strict=True)
+            if seed is None
+        )
         return [seed for seed in found if seed is not None]
 
+    def _log_refused(self, items: typing.Iterable[store.KeyValue]) -> None:
+        """Log each malformed entry once for each of its revisions."""
+        refused = {(item.key, item.revision) for item in items}
+        for key, revision in sorted(refused - self._refused):
+            self._log.write(
+                events.Event.SEED_REFUSED, key=key, revision=revision
+            )
+        self._refused = refused
+
     async def register(self) -> int:
         """Register as a seed; return the lease, or 0 on failure."""
         granted = await self._store.grant_lease(self._lease_s)
@@ -155,8 +177,7 @@
 def _seed(item: store.KeyValue) -> Seed | None:
     """Return the seed of a key; None if the value is no address."""
     address = item.value.decode('ascii', 'replace')
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdigit():
+    if not inputs.is_address(address):
         return None
     names = item.key.removeprefix(SEEDS_PREFIX).split('/')
     return Seed(names[0] if len(names) == 3 else '', address)
--- a/jasminebeam/model/upstreams.py
+++ b/jasminebeam/model/upstreams.py
@@ -115,11 +115,15 @@
         True if the upstream is about to stop.
     malformed_limit : str
         Text in place of a rate that is not one; empty if there is none.
+    malformed_load : str
+        Text in place of a load report that is not one; empty if there is
+        none.
     """
 
     limit_per_s: float | None = None
     leaving: bool = False
     malformed_limit: str = ''
+    malformed_load: str = ''
 
 
 NO_NOTICE = Notice()
--- a/jasminebeam/peering/codec.py
+++ b/jasminebeam/peering/codec.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns import result
 
+from jasminebeam import inputs
 from jasminebeam.peering import messages
 
 _PREFIX = bytes([messages.PROTOCOL_VERSION])
@@ -33,7 +34,4 @@
     """
     if frame[:1] != _PREFIX:
         return result.Failure('unsupported protocol version')
-    try:
-        return result.Success(_decoder.decode(memoryview(frame)[1:]))
-    except msgspec.DecodeError as error:
-        return result.Failure(str(error))
+    return inputs.decode(_decoder, memoryview(frame)[1:])
--- a/jasminebeam/peering/sockets.py
+++ b/jasminebeam/peering/sockets.py
@@ -9,6 +9,8 @@
 import zmq
 from zmq.utils import monitor
 
+from jasminebeam import inputs
+
 if typing.TYPE_CHECKING:
     from jasminebeam.peering import security
 
@@ -114,7 +116,11 @@
         self._on_frame = on_frame
         self._monitor = ConnectionMonitor(socket, on_closed)
         self._polled = PolledSocket(socket, self._on_frames)
-        socket.connect(endpoint)
+        try:
+            socket.connect(endpoint)
+        except zmq.ZMQError:
+            self.close()
+            raise
 
     def send(self, frame: bytes) -> bool:
         """Send a frame; return False if it cannot be sent."""
@@ -129,6 +135,17 @@
         self._on_frame(frames[-1])
 
 
+class RefusedConnection:
+    """Connection that was never opened."""
+
+    def send(self, frame: bytes) -> bool:
+        """Return False: no frame can be sent."""
+        return False
+
+    def close(self) -> None:
+        """Do nothing: there is no socket."""
+
+
 class ZmqTransport:
     """Opens connections to peers over TCP.
 
@@ -157,8 +174,14 @@
         address: str,
         on_frame: typing.Callable[[bytes], None],
         on_closed: typing.Callable[[], None],
-    ) -> ZmqConnection:
-        """Return a new connection to ``host:port``."""
+    ) -> ZmqConnection | RefusedConnection:
+        """Return a new connection to ``host:port``.
+
+        A malformed address counts as one that refuses connections.
+        """
+        if not inputs.is_address(address):
+            asyncio.get_running_loop().call_soon(on_closed)
+            return RefusedConnection()
         socket = create_dealer(self._context)
         if self._keys is not None:
             self._keys.apply(socket)
--- a/jasminebeam/platform/adapter.py
+++ b/jasminebeam/platform/adapter.py
@@ -7,6 +7,7 @@
 from jasminebeam import adapters
 from jasminebeam.configuration import route_watcher
 from jasminebeam.configuration import seeds
+from jasminebeam import inputs
 from jasminebeam.model import upstreams as upstreams_model
 from jasminebeam.platform import callers
 from jasminebeam.platform import configuration
@@ -63,7 +64,7 @@
         health_path = node.route_sets.health_path(adapter.service)
         if not health_path:
             return None
-        address = settings.parse_address(adapter.upstream)
+        address = inputs.parse_address(adapter.upstream)
         return upstreams_model.Announcement(
             adapter.service,
             address.port,
@@ -82,8 +83,8 @@
     def create_servers(self, node: node_module.Node) -> list[adapters.Server]:
         """Return all servers except the one for callers."""
         adapter = self._settings.adapter
-        announcements = settings.parse_address(adapter.announcements)
-        ready = settings.parse_address(adapter.readiness)
+        announcements = inputs.parse_address(adapter.announcements)
+        ready = inputs.parse_address(adapter.readiness)
         return [
             http_server.HttpServer(
                 announcements.host,
--- a/jasminebeam/platform/configuration.py
+++ b/jasminebeam/platform/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns import result
 
+from jasminebeam import inputs
 from jasminebeam.model import routes
 from jasminebeam.model import services
 
@@ -20,12 +21,12 @@
 
 class _WeightedCluster(msgspec.Struct, frozen=True):
     service: str
-    weight: int
+    weight: inputs.Count
 
 
 class _Action(msgspec.Struct, frozen=True, rename='camel'):
-    timeout_ms: float
-    max_attempts: int = routes.DEFAULT_MAX_ATTEMPTS
+    timeout_ms: inputs.DurationMs
+    max_attempts: inputs.Count = routes.DEFAULT_MAX_ATTEMPTS
     # Empty if `weighted_clusters` lists the services.
     service: str = ''
     weighted_clusters: tuple[_WeightedCluster, ...] = ()
@@ -37,8 +38,8 @@
     name: str = ''
     kind: str = ''
     # Latency objective; 0 if unset.
-    aim_ms: float = 0
-    priority: int = routes.LOWEST_PRIORITY
+    aim_ms: inputs.DurationMs = 0
+    priority: inputs.Count = routes.LOWEST_PRIORITY
 
 
 class _Listener(msgspec.Struct, frozen=True):
@@ -50,20 +51,24 @@
 # The platform calls a service a cluster.
 class _Cluster(msgspec.Struct, frozen=True, rename='camel'):
     name: str
-    health_path: str = ''
-    max_connections: int = 0
+    health_path: typing.Annotated[
+        str, msgspec.Meta(pattern=r'^(/[!-~]*)?\Z')
+    ] = ''
+    max_connections: inputs.Count = 0
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: inputs.Count
+    max_body_bytes: inputs.Count
+    header_timeout_ms: inputs.DurationMs
+    idle_timeout_ms: inputs.DurationMs
 
 
 class _Document(msgspec.Struct, frozen=True):
     # Revision of the document in eight hexadecimal digits.
-    version: str
+    version: typing.Annotated[
+        str, msgspec.Meta(pattern=r'^[0-9A-Fa-f]{1,15}\Z')
+    ]
     listeners: tuple[_Listener, ...]
     clusters: tuple[_Cluster, ...]
     limits: _Limits | None = None
@@ -84,29 +89,25 @@
 
     def decode(self, value: bytes) -> result.Result[routes.RouteSet, str]:
         """Return the route set, or the reason why the value is invalid."""
-        try:
-            document = self._decoder.decode(value)
-            revision = int(document.version, 16)
-        except (msgspec.DecodeError, ValueError) as error:
-            return result.Failure(str(error))
-        return result.Success(
-            routes.RouteSet(
-                revision=revision,
-                routes=tuple(
-                    _route(listener.host, rule)
-                    for listener in document.listeners
-                    for rule in listener.rules
-                ),
-                services=tuple(
-                    services.Service(cluster.name, **self._budgets)
-                    for cluster in document.clusters
-                ),
-                health_paths=tuple(
-                    (cluster.name, cluster.health_path)
-                    for cluster in document.clusters
-                ),
-                limits=_limits(document.limits),
-            )
+        return inputs.decode(self._decoder, value).map(self._route_set)
+
+    def _route_set(self, document: _Document) -> routes.RouteSet:
+        return routes.RouteSet(
+            revision=int(document.version, 16),
+            routes=tuple(
+                _route(listener.host, rule)
+                for listener in document.listeners
+                for rule in listener.rules
+            ),
+            services=tuple(
+                services.Service(cluster.name, **self._budgets)
+                for cluster in document.clusters
+            ),
+            health_paths=tuple(
+                (cluster.name, cluster.health_path)
+                for cluster in document.clusters
+            ),
+            limits=_limits(document.limits),
         )
 
 
--- a/jasminebeam/platform/servers.py
+++ b/jasminebeam/platform/servers.py
@@ -6,9 +6,10 @@
 
 from aiohttp import web
 import msgspec
+from returns import result
 
+from jasminebeam import inputs
 from jasminebeam.model import upstreams
-from jasminebeam.platform import settings
 from jasminebeam.platform import wire
 from jasminebeam.telemetry import events
 from jasminebeam.upstreams import lifecycle
@@ -20,15 +21,15 @@
 
 
 class _Info(msgspec.Struct, frozen=True):
-    service: str
-    slots: int
+    service: inputs.Name
+    slots: inputs.PositiveCount
 
 
 class _Status(msgspec.Struct, frozen=True, rename='camel'):
     state: str
-    sequence: int
+    sequence: inputs.SequenceNumber
     # Time until the upstream reaches full speed.
-    cold_remaining_ms: float = 0
+    cold_remaining_ms: inputs.DurationMs = 0
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
@@ -36,11 +37,15 @@
     info: _Info
     status: _Status
     # Start time of the upstream in ms since the epoch; 0 if not sent.
-    born: int = 0
+    born: inputs.WallMs = 0
 
 
 class _LeaveNotice(msgspec.Struct, frozen=True):
-    born: int = 0
+    born: inputs.WallMs = 0
+
+
+_heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
+_leave_decoder = msgspec.json.Decoder(_LeaveNotice)
 
 
 class HeartbeatHandler:
@@ -61,36 +66,39 @@
         ]
 
     async def _on_heartbeat(self, request: web.Request) -> web.Response:
-        try:
-            body = msgspec.json.decode(await request.read(), type=_Heartbeat)
-            decoded = self._decode(request.match_info['upstream_id'], body)
-        except (msgspec.DecodeError, ValueError) as error:
-            return self._refuse(error)
-        self._node.on_heartbeat(decoded)
+        upstream_id = request.match_info['upstream_id']
+        body = inputs.decode(_heartbeat_decoder, await request.read())
+        decoded = body.bind(
+            lambda heartbeat: self._convert(upstream_id, heartbeat)
+        )
+        if not isinstance(decoded, result.Success):
+            return self._refuse(decoded.failure())
+        self._node.on_heartbeat(decoded.unwrap())
         return web.json_response({})
 
     async def _on_leave(self, request: web.Request) -> web.Response:
         body = await request.read()
-        try:
-            notice = msgspec.json.decode(body or b'{}', type=_LeaveNotice)
-        except msgspec.DecodeError as error:
-            return self._refuse(error)
+        notice = inputs.decode(_leave_decoder, body or b'{}')
+        if not isinstance(notice, result.Success):
+            return self._refuse(notice.failure())
         self._node.on_upstream_leave(
-            request.match_info['upstream_id'], notice.born
+            request.match_info['upstream_id'], notice.unwrap().born
         )
         return web.json_response({})
 
-    def _decode(
+    def _convert(
         self, upstream_id: str, body: _Heartbeat
-    ) -> lifecycle.Heartbeat:
-        address = settings.parse_address(body.address)
+    ) -> result.Result[lifecycle.Heartbeat, str]:
+        try:
+            inputs.parse_name(upstream_id)
+            address = inputs.parse_address(body.address)
+        except ValueError as error:
+            return result.Failure(str(error))
         if body.status.state not in _HEARTBEAT_STATES:
-            raise ValueError(f'state {body.status.state!r} is unknown')
-        if body.info.slots < 1 or not body.info.service:
-            raise ValueError('service and slots are required')
+            return result.Failure(f'state {body.status.state!r} is unknown')
         directory = self._node.route_sets
         if directory.revision and directory.service(body.info.service) is None:
-            raise ValueError(f'service {body.info.service!r} is unknown')
+            return result.Failure(f'service {body.info.service!r} is unknown')
         announcement = upstreams.Announcement(
             service=body.info.service,
             port=address.port,
@@ -101,16 +109,18 @@
             upstream_id=upstream_id,
             started_ms=body.born,
         )
-        return lifecycle.Heartbeat(
-            announcement,
-            body.status.sequence,
-            draining=body.status.state != 'ready',
+        return result.Success(
+            lifecycle.Heartbeat(
+                announcement,
+                body.status.sequence,
+                draining=body.status.state != 'ready',
+            )
         )
 
-    def _refuse(self, error: Exception) -> web.Response:
-        self._node.log.write(events.Event.HEARTBEAT_REFUSED, cause=error)
+    def _refuse(self, cause: str) -> web.Response:
+        self._node.log.write(events.Event.HEARTBEAT_REFUSED, cause=cause)
         self._node.metrics.heartbeats_refused.inc()
-        return web.json_response({'error': str(error)}, status=400)
+        return web.json_response({'error': cause}, status=400)
 
 
 def readiness(node: node_module.Node) -> web.RouteDef:
--- a/jasminebeam/platform/settings.py
+++ b/jasminebeam/platform/settings.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns import result
 
+from jasminebeam import inputs
 from jasminebeam import settings
 
 SECTION = 'adapter'
@@ -54,33 +55,6 @@
     adapter: AdapterSection
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Address:
-    """A host and a port."""
-
-    host: str
-    port: int
-
-
-def parse_address(text: str) -> Address:
-    """Return the parts of ``host:port``.
-
-    Raises
-    ------
-    ValueError
-        If the text has another form.
-
-    Examples
-    --------
-    >>> parse_address('10.1.0.41:8624')
-    Address(host='10.1.0.41', port=8624)
-    """
-    host, separator, port = text.rpartition(':')
-    if not separator or not host:
-        raise ValueError(f'{text!r} is not host:port')
-    return Address(host, int(port))
-
-
 def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
     """Return the settings in a file, or an error message."""
     return settings.read(path).bind(parse)
@@ -98,14 +72,14 @@
     values = dict(parser[SECTION])
     try:
         adapter = msgspec.convert(values, AdapterSection, strict=False)
-        callers = parse_address(adapter.callers)
+        callers = inputs.parse_address(adapter.callers)
         for address in (
             adapter.readiness,
             adapter.announcements,
             adapter.upstream,
             adapter.store,
         ):
-            parse_address(address)
+            inputs.parse_address(address)
     except (msgspec.ValidationError, ValueError) as error:
         return result.Failure(f'[{SECTION}] {error}')
     parser.remove_section(SECTION)
--- a/jasminebeam/platform/store.py
+++ b/jasminebeam/platform/store.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from jasminebeam import http_client
+from jasminebeam import inputs
 from jasminebeam.store import store
 
 if typing.TYPE_CHECKING:
@@ -267,11 +268,11 @@
     def _decode(
         self, content: bytes, body_type: type
     ) -> result.Result[typing.Any, store.StoreError]:
-        try:
-            return result.Success(msgspec.json.decode(content, type=body_type))
-        except msgspec.DecodeError:
-            self._count('answer', 'malformed')
-            return _UNAVAILABLE
+        decoded = inputs.decode(msgspec.json.Decoder(body_type), content)
+        if isinstance(decoded, result.Success):
+            return decoded
+        self._count('answer', 'malformed')
+        return _UNAVAILABLE
 
     def _key_values(
         self, items: typing.Iterable[_Item]
--- a/jasminebeam/platform/upstreams.py
+++ b/jasminebeam/platform/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from jasminebeam import inputs
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
 from jasminebeam.platform import wire
@@ -20,6 +21,7 @@
     """Encodes calls as HTTP requests and decodes upstreams' answers."""
 
     notice_headers = notices.HeaderNames(wire.LIMIT, wire.LEAVING)
+    load_header = wire.LOAD
 
     def request_headers(
         self,
@@ -90,11 +92,8 @@
     >>> parse_load('busy') is None
     True
     """
-    try:
-        values = [int(part) for part in text.split(',')]
-    except ValueError:
-        return None
-    if len(values) < 3 or min(values) < 0:
+    values = inputs.parse_counts(text)
+    if values is None or len(values) < 3:
         return None
     slowness = None
     if len(values) > 3 and values[3] > 0:
--- a/jasminebeam/sidecar/condition.py
+++ b/jasminebeam/sidecar/condition.py
@@ -53,6 +53,7 @@
         self._log = log
         self._counters = counters
         self._last_malformed = ''
+        self._is_load_malformed = False
         self._answered_ms: float | None = None
         self._has_named_limit = False
         self._pending: dict[str, messages.UpstreamNotice] = {}
@@ -66,6 +67,7 @@
         self._answered_ms = None
         self._has_named_limit = False
         self._last_malformed = ''
+        self._is_load_malformed = False
         self._counters.upstream_limit.set(math.nan)
 
     def on_notice(
@@ -79,6 +81,7 @@
             self._answered_ms = now_ms
         if notice.malformed_limit:
             self._log_malformed(source, notice.malformed_limit)
+        self._record_load(source, notice.malformed_load)
         if notice.limit_per_s is not None:
             self._has_named_limit = True
             named = self._slots.limit.named(notice.limit_per_s, source, now_ms)
@@ -191,6 +194,18 @@
             events.Event.LIMIT_MALFORMED, value=text, source=source.value
         )
 
+    def _record_load(
+        self, source: upstreams.NoticeSource, malformed: str
+    ) -> None:
+        """Log the first of successive malformed load reports."""
+        if malformed and not self._is_load_malformed:
+            self._log.write(
+                events.Event.LOAD_MALFORMED,
+                value=malformed,
+                source=source.value,
+            )
+        self._is_load_malformed = bool(malformed)
+
 
 def _merge(
     kept: messages.UpstreamNotice, received: messages.UpstreamNotice
--- a/jasminebeam/store/etcd.py
+++ b/jasminebeam/store/etcd.py
@@ -21,7 +21,13 @@
 
 # Errors that decoding a malformed answer raises. `ValueError` includes
 # invalid JSON, Base64 and UTF-8, and lines over the limit.
-_MALFORMED = (ValueError, LookupError, TypeError, AttributeError)
+_MALFORMED = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -59,6 +59,9 @@
     UPSTREAM_LEAVING = EventKind(
         209, logbook.INFO, 'upstream stated that it is about to stop'
     )
+    LOAD_MALFORMED = EventKind(
+        210, logbook.WARNING, 'malformed load report ignored'
+    )
     LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
@@ -95,6 +98,9 @@
     WATCH_GIVEN_UP = EventKind(
         507, logbook.WARNING, 'watch of the store given up'
     )
+    SEED_REFUSED = EventKind(
+        508, logbook.WARNING, 'malformed seed in the store ignored'
+    )
     UPSTREAM_EJECTED = EventKind(
         600, logbook.WARNING, 'upstream ejected from selection'
     )
--- a/jasminebeam/upstreams/announcements.py
+++ b/jasminebeam/upstreams/announcements.py
@@ -6,7 +6,9 @@
 
 from aiohttp import web
 import msgspec
+from returns import result
 
+from jasminebeam import inputs
 from jasminebeam.model import upstreams
 from jasminebeam.upstreams import http_server
 
@@ -14,6 +16,17 @@
     from jasminebeam.telemetry import metrics
 
 
+_decoder = msgspec.json.Decoder(upstreams.Announcement)
+_RANGES = (
+    ('port', 1, inputs.MAX_PORT),
+    ('slots', 1, inputs.MAX_COUNT),
+    ('connections', 1, inputs.MAX_COUNT),
+    ('cold_start_ms', 0, inputs.MAX_DURATION_MS),
+    ('shed_status', 0, 999),
+    ('started_ms', 0, inputs.MAX_WALL_MS),
+)
+
+
 class AnnouncementTarget(typing.Protocol):
     """Receiver of the upstream's announcements and drain requests."""
 
@@ -65,12 +78,10 @@
         await self._server.stop()
 
     async def _announce(self, request: web.Request) -> web.Response:
-        try:
-            announcement = msgspec.json.decode(
-                await request.read(), type=upstreams.Announcement
-            )
-        except msgspec.DecodeError as error:
-            return web.json_response({'error': str(error)}, status=400)
+        decoded = inputs.decode(_decoder, await request.read())
+        if not isinstance(decoded, result.Success):
+            return web.json_response({'error': decoded.failure()}, status=400)
+        announcement = decoded.unwrap()
         problem = _check(announcement)
         if problem:
             return web.json_response({'error': problem}, status=400)
@@ -95,12 +106,9 @@
     """Return the error in an announcement; empty if it is valid."""
     if not announcement.service:
         return 'service: must not be empty'
-    if not 1 <= announcement.port <= 65_535:
-        return 'port: must be between 1 and 65535'
-    if announcement.slots < 1:
-        return 'slots: must be at least 1'
-    if announcement.connections < 1:
-        return 'connections: must be at least 1'
-    if announcement.cold_start_ms < 0:
-        return 'cold_start_ms: must not be negative'
+    for name, low, high in _RANGES:
+        if not low <= getattr(announcement, name) <= high:
+            return f'{name}: must be between {low} and {high}'
+    if not inputs.is_address(f'{announcement.host}:{announcement.port}'):
+        return 'host: must be a name or an IP address'
     return ''
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -16,6 +16,7 @@
 from jasminebeam import http_client
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
+from jasminebeam.upstreams import notices
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
@@ -47,7 +48,7 @@
     {verdict.Reason.WRONG_ANSWER, verdict.Reason.WRONG_UPSTREAM}
 )
 
-_KEEP_ALIVE = re.compile(r'timeout=(\d+)')
+_KEEP_ALIVE = re.compile(r'timeout=([0-9]{1,9})')
 
 
 OnNotice = typing.Callable[
@@ -310,6 +311,10 @@
         if report is not None:
             self._on_report(report)
         notice = self._dialect.notice_headers.read(headers)
+        if report is None:
+            text = headers.get(self._dialect.load_header, '')
+            malformed = text[: notices.MAX_TEXT_CHARS]
+            notice = dataclasses.replace(notice, malformed_load=malformed)
         self._on_notice(self.announcement, source, notice)
 
     def _update_idle_limit(self, response: aiohttp.ClientResponse) -> None:
--- a/jasminebeam/upstreams/dialect.py
+++ b/jasminebeam/upstreams/dialect.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from jasminebeam import inputs
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
 from jasminebeam.upstreams import notices
@@ -21,6 +22,8 @@
     """Converts between calls and an upstream's HTTP messages."""
 
     notice_headers: notices.HeaderNames
+    # Header that holds the load report; empty if none does.
+    load_header: str
 
     def request_headers(
         self,
@@ -61,6 +64,7 @@
     """Dialect of jasminebeam's own HTTP interface to upstreams."""
 
     notice_headers = notices.HeaderNames(LIMIT_HEADER, LEAVING_HEADER)
+    load_header = ''
 
     def request_headers(
         self,
@@ -101,9 +105,8 @@
         self, status: int, headers: HeaderMap, body: bytes
     ) -> upstreams.Health:
         """Return the health, and the number of running requests."""
-        try:
-            running = int(body)
-        except ValueError:
+        counts = inputs.parse_counts(body.decode('latin-1'))
+        if counts is None or len(counts) != 1:
             return upstreams.Health(status == 200)
-        report = upstreams.LoadReport(running, 0, 0)
+        report = upstreams.LoadReport(counts[0], 0, 0)
         return upstreams.Health(status == 200, report=report)
--- a/jasminebeam/upstreams/notices.py
+++ b/jasminebeam/upstreams/notices.py
@@ -10,7 +10,7 @@
 
 from jasminebeam.model import upstreams
 
-MAX_LIMIT_CHARS = 64
+MAX_TEXT_CHARS = 64
 
 _DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 _LEAVING = '1'
@@ -65,7 +65,7 @@
     for text in _split(limit_texts):
         limit_per_s = _parse_limit(text.strip())
         if limit_per_s is None:
-            malformed = text.strip()[:MAX_LIMIT_CHARS] or 'empty'
+            malformed = text.strip()[:MAX_TEXT_CHARS] or 'empty'
         else:
             limits.append(limit_per_s)
     return upstreams.Notice(
@@ -82,6 +82,6 @@
 
 def _parse_limit(text: str) -> float | None:
     """Return the requests per second in a text; None if it has no number."""
-    if len(text) > MAX_LIMIT_CHARS or not _DECIMAL.fullmatch(text):
+    if len(text) > MAX_TEXT_CHARS or not _DECIMAL.fullmatch(text):
         return None
     return float(text)
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -10,6 +10,7 @@
 
 from bench.standins import platform_store
 from bench.standins import platform_upstream
+from jasminebeam import inputs
 from jasminebeam import node
 from jasminebeam.platform import adapter
 from jasminebeam.platform import settings
@@ -110,7 +111,7 @@
         """
         name = f'n{len(self.nodes)}'
         loaded = self.node_settings(name)
-        address = settings.parse_address(loaded.adapter.upstream)
+        address = inputs.parse_address(loaded.adapter.upstream)
         stand_in = platform_upstream.PlatformUpstreamStandIn(
             address.port, f'i-{name}', 'fees'
         )
--- a/tests/test_callers/test_pipelining.py
+++ b/tests/test_callers/test_pipelining.py
@@ -9,7 +9,7 @@
 import pytest
 
 from jasminebeam.callers import pipelining
-from jasminebeam.platform import settings
+from jasminebeam import inputs
 from tests import platform_cluster
 
 HOST = platform_cluster.HOST
@@ -65,7 +65,7 @@
 
     async def open(self, cluster):
         """Connect."""
-        address = settings.parse_address(cluster.settings[0].adapter.callers)
+        address = inputs.parse_address(cluster.settings[0].adapter.callers)
         self.reader, self.writer = await asyncio.open_connection(
             address.host, address.port
         )
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -7,10 +7,10 @@
 import pytest
 
 from jasminebeam.admission import host_speed
+from jasminebeam import inputs
 from jasminebeam.model import upstreams
 from jasminebeam import node
 from jasminebeam.platform import adapter
-from jasminebeam.platform import settings
 from tests import platform_cluster
 
 
@@ -257,7 +257,7 @@
 async def test_unfinished_request_header_times_out(cluster):
     """The node closes the connection at the configured header timeout."""
     await cluster.add_host()
-    address = settings.parse_address(cluster.settings[0].adapter.callers)
+    address = inputs.parse_address(cluster.settings[0].adapter.callers)
     reader, writer = await asyncio.open_connection(address.host, address.port)
     writer.write(b'POST /fee/1 HTTP/1.1\r\nHost: x\r\n')
     async with asyncio.timeout(2.0):
--- a/tests/test_platform/test_raw_callers.py
+++ b/tests/test_platform/test_raw_callers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jasminebeam.platform import settings
+from jasminebeam import inputs
 from tests import platform_cluster
 
 HOST = platform_cluster.HOST.encode()
@@ -73,7 +73,7 @@
 
 async def _send_and_receive(cluster, sent):
     """Send bytes and return all that the node sends within 0.5 s."""
-    address = settings.parse_address(cluster.settings[0].adapter.callers)
+    address = inputs.parse_address(cluster.settings[0].adapter.callers)
     reader, writer = await asyncio.open_connection(address.host, address.port)
     writer.write(sent)
     received = b''
@@ -113,7 +113,7 @@
 
 async def test_truncated_request_does_not_run(cluster):
     """A caller that closes before its body is complete runs nothing."""
-    address = settings.parse_address(cluster.settings[0].adapter.callers)
+    address = inputs.parse_address(cluster.settings[0].adapter.callers)
     _, writer = await asyncio.open_connection(address.host, address.port)
     writer.write(
         b'POST /fee/1 HTTP/1.1\r\n' + HEAD + b'Content-Length: 9\r\n\r\nx'
--- a/tests/test_platform/test_reused_address.py
+++ b/tests/test_platform/test_reused_address.py
@@ -8,8 +8,8 @@
 import pytest_asyncio
 
 from bench.standins import platform_upstream
+from jasminebeam import inputs
 from jasminebeam.model import upstreams
-from jasminebeam.platform import settings
 from tests import platform_cluster
 
 OTHER_SERVICE = 'seats'
@@ -104,7 +104,7 @@
     created = await cluster.start_node(cluster.settings[0])
     cluster.nodes.append(created)
     await asyncio.sleep(SETTLE_S)
-    address = settings.parse_address(cluster.settings[0].adapter.upstream)
+    address = inputs.parse_address(cluster.settings[0].adapter.upstream)
     foreign = platform_upstream.PlatformUpstreamStandIn(
         address.port, 'i-foreign', OTHER_SERVICE
     )
--- a/tests/test_platform/test_stalled_readers.py
+++ b/tests/test_platform/test_stalled_readers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from jasminebeam.callers import connections
-from jasminebeam.platform import settings
+from jasminebeam import inputs
 from tests import platform_cluster
 
 IDLE_TIMEOUT_MS = 300
@@ -51,7 +51,7 @@
 
 async def _read_after(cluster, pause_s):
     """Send requests, pause, and return how many bytes arrive."""
-    address = settings.parse_address(cluster.settings[0].adapter.callers)
+    address = inputs.parse_address(cluster.settings[0].adapter.callers)
     reader, writer = await _connect(address)
     for number in range(REQUESTS):
         ending = 'close' if number == REQUESTS - 1 else 'keep-alive'
--- a/tests/test_platform/test_stop.py
+++ b/tests/test_platform/test_stop.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from jasminebeam.platform import settings
+from jasminebeam import inputs
 from tests import platform_cluster
 
 STOP_TIMEOUT_MS = 700
@@ -48,7 +48,7 @@
 
     async def connect(self, loaded):
         """Connect to a node."""
-        address = settings.parse_address(loaded.adapter.callers)
+        address = inputs.parse_address(loaded.adapter.callers)
         self.reader, self.writer = await asyncio.open_connection(
             address.host, address.port
         )
--- a/tests/test_upstreams/test_notices.py
+++ b/tests/test_upstreams/test_notices.py
@@ -35,7 +35,7 @@
     """Other texts name no limit and are shortened for the log."""
     parsed = notices.parse([text], '')
     assert parsed.limit_per_s is None
-    assert 0 < len(parsed.malformed_limit) <= notices.MAX_LIMIT_CHARS
+    assert 0 < len(parsed.malformed_limit) <= notices.MAX_TEXT_CHARS
 
 
 def test_malformed_limit_beside_a_valid_one():
