Tell in each request's line when the store last answered

From the id of a request that an older configuration had handled, on-call could not tell whether the node had not learnt the newer one or had not applied it: 702 names the revision, and nothing names the age of what the fleet knows. In the users' record this could not be told apart either.

Nodes that are no delegates use it as well: if no delegate has had an answer for 8 s, they read the configuration, twice a second in the whole fleet. This covers the case that the store refuses every node that may become a delegate (test_node_that_is_no_delegate_reads_in_place_of_all, which fails without it).

The messages gain one optional field, so older nodes still read them.

--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -54,6 +54,12 @@
 FLEET_READS_PER_S = 8.0
 READ_INTERVAL_S = 0.25
 
+# Time without an answer of the store to any delegate after which other nodes
+# read the routes, and the reads per second of the fleet from then on.
+# Heartbeats spread an answer within a few seconds.
+MAX_STORE_AGE_MS = 8_000
+FLEET_BACKUP_READS_PER_S = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
@@ -91,6 +97,12 @@
     def knows(self, address: str) -> bool:
         """Return True if a member has this peer address."""
 
+    def record_store_contact(self) -> None:
+        """Record that the store has answered this node."""
+
+    def store_age_ms(self) -> int:
+        """Return the time since the store last answered the fleet, or -1."""
+
     @property
     def has_store_contact(self) -> bool:
         """Whether the store answers this node, as it has published."""
@@ -152,7 +164,7 @@
         self._generator = generator
         self._log = log
         self._availability = availability.AvailabilityLog(
-            log, self._on_availability
+            log, self._on_availability, members.record_store_contact
         )
         self._seeds = seeds.SeedRegistry(
             backend, options.local, options.lease_s, self._availability, log
@@ -190,6 +202,7 @@
                 POLL_INTERVAL_S * self._jitter()
             )
             await self._test_contact()
+            await self._read_without_delegates()
 
     async def read_missing_routes(self) -> None:
         """Read the routes once if no peer of a started fleet has them.
@@ -336,6 +349,18 @@
         if not has_contact or self._answers >= ANSWERS_BEFORE_CONTACT:
             self._members.publish_contact(has_contact)
 
+    async def _read_without_delegates(self) -> None:
+        """Read the routes if no delegate seems to have contact.
+
+        The fleet as a whole reads at a fixed rate. The first answer spreads
+        to the other nodes.
+        """
+        if self._members.store_age_ms() < MAX_STORE_AGE_MS:
+            return
+        reads_per_s = FLEET_BACKUP_READS_PER_S / self._members.size
+        if self._generator.random() < reads_per_s * POLL_INTERVAL_S:
+            await self._watch.read()
+
     async def _test_contact(self) -> None:
         """Publish that the store answers a node that had lost contact."""
         now_s = asyncio.get_running_loop().time()
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -110,6 +110,8 @@
         Record requests, attempts, ejections, retries and hedges.
     admission : AdmissionClient
         Asks sidecars whether they would accept a request.
+    store_age_ms : callable
+        Returns the time since the store last answered a node, for the log.
     """
 
     def __init__(
@@ -121,7 +123,9 @@
         log: events.EventLog,
         counters: metrics.Metrics,
         admission: admission_client.AdmissionClient,
+        store_age_ms: typing.Callable[[], int] = lambda: -1,
     ) -> None:
+        self._store_age_ms = store_age_ms
         self._admission = admission
         self._selector = selector
         self._peer_provider = provider
@@ -171,6 +175,7 @@
             route=call.route,
             priority=call.priority,
             revision=call.revision,
+            store_age_ms=self._store_age_ms(),
             outcome=result.outcome.value,
             reason=result.reason.value,
             status=result.answer.status if result.answer else 0,
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -8,6 +8,8 @@
 import random
 import typing
 
+import msgspec
+
 from jasminebeam.membership import gossip
 from jasminebeam.model import upstreams
 from jasminebeam.peering import messages
@@ -80,6 +82,8 @@
         self._links: control.ControlLinks | None = None
         self._nonces = itertools.count(1)
         self._delegate_lost = asyncio.Event()
+        # Time at which the store last answered a node of the fleet.
+        self._store_contact_ms: float | None = None
         self._pending_queries: dict[int, asyncio.Future[int]] = {}
 
     @property
@@ -113,6 +117,35 @@
         """Return True if a member has this peer address."""
         return any(member.address == address for member in self._state.members)
 
+    def record_store_contact(self) -> None:
+        """Record that the store has answered this node."""
+        self._store_contact_ms = self._clock()
+
+    def store_age_ms(self) -> int:
+        """Return the time since the store last answered the fleet.
+
+        Heartbeats carry it from the nodes that call the store to the others.
+        It is -1 if unknown.
+        """
+        if self._store_contact_ms is None:
+            return messages.UNKNOWN_AGE_MS
+        return max(0, round(self._clock() - self._store_contact_ms))
+
+    def _on_store_age(self, age_ms: int) -> None:
+        if age_ms < 0:
+            return
+        contact_ms = self._clock() - age_ms
+        known_ms = self._store_contact_ms
+        if known_ms is None or contact_ms > known_ms:
+            self._store_contact_ms = contact_ms
+
+    def _with_store_age(self, message: messages.Message) -> messages.Message:
+        if isinstance(message, messages.Heartbeat | messages.HeartbeatAck):
+            return msgspec.structs.replace(
+                message, store_age_ms=self.store_age_ms()
+            )
+        return message
+
     @property
     def has_store_contact(self) -> bool:
         """Whether the store answers this node, as it has published."""
@@ -177,9 +210,11 @@
         elif isinstance(message, messages.RevisionReply):
             self._on_revision_reply(message)
         else:
+            if isinstance(message, messages.Heartbeat | messages.HeartbeatAck):
+                self._on_store_age(message.store_age_ms)
             effects = self._state.receive(message, self._clock())
             now_ms = self._clock()
-            for reply in effects.replies:
+            for reply in map(self._with_store_age, effects.replies):
                 self._links.send_within_budget(reply, send, now_ms)
             self._apply(effects)
 
@@ -255,7 +290,8 @@
     def _apply(self, effects: gossip.Effects) -> None:
         now_ms = self._clock()
         for outgoing in effects.outgoing:
-            self._links.send(outgoing.address, outgoing.message, now_ms)
+            message = self._with_store_age(outgoing.message)
+            self._links.send(outgoing.address, message, now_ms)
         for member in effects.members:
             self._log_member(member)
             self._on_member(member)
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -123,6 +123,7 @@
         self.membership = self._create_membership()
         self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
         self.metrics.queued.set_function(lambda: self.sidecar.queued)
+        self.metrics.store_age.set_function(self._store_age_s)
         self._servers: list[adapters_module.Server] = []
         self._stopping = False
         self._upstream_reachable = True
@@ -463,6 +464,7 @@
             admission_client.AdmissionClient(
                 self.pool, cost_parameters, clock.monotonic_ms
             ),
+            self.membership.store_age_ms,
         )
         self._callers = http.CallerServer(
             self._adapter.matcher(self),
@@ -477,6 +479,7 @@
             self.log,
             self.metrics,
             self.sidecar.is_running,
+            self.membership.store_age_ms,
         )
 
     def is_relay_candidate(self) -> bool:
@@ -489,6 +492,10 @@
         )
         return local_member.node_id in candidate_ids
 
+    def _store_age_s(self) -> float:
+        age_ms = self.membership.store_age_ms()
+        return age_ms / 1_000 if age_ms >= 0 else age_ms
+
     def delegate_duty(self) -> delegates.Duty:
         """Return the duty of this node for its failure domain."""
         local_member = self.membership.local_member
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -11,6 +11,8 @@
 
 PROTOCOL_VERSION = 1
 
+UNKNOWN_AGE_MS = -1
+
 
 class Message(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Base class of the messages between nodes."""
@@ -171,6 +173,9 @@
         Service definitions that changed recently.
     routes_revision : int
         Revision of the sender's route set; 0 if it has none.
+    store_age_ms : int
+        Time since the store last answered a node from which the sender has
+        heard; -1 if unknown.
     """
 
     nonce: int
@@ -180,6 +185,7 @@
     members: tuple[upstreams.Member, ...] = ()
     revisions: tuple[services.ServiceRevision, ...] = ()
     routes_revision: int = 0
+    store_age_ms: int = UNKNOWN_AGE_MS
 
 
 class HeartbeatAck(Message, tag=14):
@@ -192,6 +198,7 @@
     members: tuple[upstreams.Member, ...] = ()
     revisions: tuple[services.ServiceRevision, ...] = ()
     routes_revision: int = 0
+    store_age_ms: int = UNKNOWN_AGE_MS
 
 
 class IndirectProbe(Message, tag=15):
--- a/jasminebeam/store/availability.py
+++ b/jasminebeam/store/availability.py
@@ -19,15 +19,19 @@
         Receives an event for each change of availability.
     on_change : callable
         Receives the new availability.
+    on_answer : callable
+        Called for each answer of the store.
     """
 
     def __init__(
         self,
         log: events.EventLog,
         on_change: typing.Callable[[bool], None] = lambda available: None,
+        on_answer: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self._log = log
         self._on_change = on_change
+        self._on_answer = on_answer
         self.available = True
 
     def record(
@@ -38,6 +42,8 @@
             isinstance(outcome, result.Success)
             or outcome.failure() is not store.StoreError.UNAVAILABLE
         )
+        if available:
+            self._on_answer()
         if available == self.available:
             return
         self.available = available
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -127,6 +127,10 @@
         self.config_revision = self._gauge(
             'config_revision', 'Highest configuration revision in force.'
         )
+        self.store_age = self._gauge(
+            'store_age_seconds',
+            'Time since the store last answered a node; -1 if unknown.',
+        )
 
     def _counter(
         self, name: str, text: str, labels: str
--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -237,6 +237,8 @@
         self.members = {node}
         self.addresses = {node.address}
         self.revision = 0
+        # Time at which the store last answered a member.
+        self.contact_s = None
         self._ranked = {}
 
     def ranked(self, domain):
@@ -329,6 +331,16 @@
         """Return True if the node is a delegate among the known members."""
         return self.duty() is delegates.Duty.REGULAR
 
+    def record_store_contact(self):
+        """Record an answer of the store; all known members hear of it."""
+        self.group.contact_s = self.fleet.loop.time()
+
+    def store_age_ms(self):
+        """Return the time since the store last answered a known member."""
+        if self.group.contact_s is None:
+            return -1
+        return 1_000 * (self.fleet.loop.time() - self.group.contact_s)
+
     @property
     def has_store_contact(self):
         """Whether the store answers the node, as it has published."""
@@ -636,6 +648,25 @@
     assert all(node.has_store_contact for node in fleet.nodes)
 
 
+@pytest.mark.parametrize('seed', range(3))
+def test_node_that_is_no_delegate_reads_in_place_of_all(create_fleet, seed):
+    """A change is in force although the store refuses all that may watch.
+
+    The other nodes learn of it only from the age of the last answer.
+    """
+    fleet = _start_fleet(create_fleet, 200, seed)
+    for domain in range(DOMAINS):
+        ranked = fleet.nodes[0].group.ranked(f'd{domain}')
+        fleet.store.refused |= {member.node_id for member in ranked}
+    fleet.write_routes(2)
+    before = fleet.store.calls['list']
+    fleet.advance(15.0)
+    assert all(node.revision == 2 for node in fleet.nodes)
+    read_s = 15.0 - route_watcher.MAX_STORE_AGE_MS / 1_000
+    most = 2 * route_watcher.FLEET_BACKUP_READS_PER_S * read_s
+    assert fleet.store.calls['list'] - before <= most
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_outage_of_the_whole_store_tries_few_nodes(create_fleet, seed):
     """Only the ranked members of a domain try the store."""
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -399,3 +399,29 @@
     store.faults.silent = False
     await store.put('op/config', platform_cluster.configuration(version=2))
     await cluster.wait_until(lambda: created.route_sets.revision == 2)
+
+
+async def test_nodes_that_do_not_call_the_store_know_its_last_answer(cluster):
+    """The line of each request tells how old the node's knowledge may be."""
+    for _ in range(4):
+        await cluster.add_host()
+    await cluster.wait_until(
+        lambda: all(
+            0 <= created.membership.store_age_ms() < 5_000
+            for created in cluster.nodes
+        )
+    )
+    ended = []
+    for created in cluster.nodes:
+        created.log.write = lambda event, **fields: ended.append(
+            (event.name, fields)
+        )
+    await cluster.send_request()
+    await cluster.send_request(path='/none/')
+    ages_ms = {
+        name: fields['store_age_ms']
+        for name, fields in ended
+        if 'store_age_ms' in fields
+    }
+    assert set(ages_ms) == {'REQUEST_ENDED', 'REQUEST_UNMATCHED'}
+    assert min(ages_ms.values()) >= 0
