Refuse waiting requests when another service's upstream takes over

Attaching an upstream kept the queue, and what starts from the queue is not compared with the service again; draining and detaching refuse it already.

--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -165,8 +165,16 @@
         announcement: upstreams.Announcement,
         upstream_client: client.UpstreamClient,
     ) -> client.UpstreamClient | None:
-        """Put an upstream into service and return the previous client."""
+        """Put an upstream into service and return the previous client.
+
+        Requests that wait for an upstream of another service are refused.
+        """
         previous = self._client
+        if (
+            self.announcement is not None
+            and self.announcement.service != announcement.service
+        ):
+            self._refuse_waiting(verdict.Reason.NOT_READY)
         self._condition.on_attach(
             _is_same_upstream(self.announcement, announcement)
         )
--- a/tests/test_sidecar/test_sidecar.py
+++ b/tests/test_sidecar/test_sidecar.py
@@ -67,3 +67,24 @@
     assert draining.sidecar.queued == 0
     cluster.run(0.5)
     assert draining.upstream.runs.total() == 1
+
+
+def test_waiting_requests_ran_at_an_upstream_of_another_service(cluster):
+    """An attachment under another service must refuse what waits."""
+    cluster.add('replaced', slots=1)
+    tasks = [
+        cluster.send(cluster.call(request_id=f'r{number}'))
+        for number in range(2)
+    ]
+    cluster.run(0.006)
+    replaced = cluster.servers['replaced']
+    assert replaced.sidecar.queued == 1
+    foreign = dataclasses.replace(
+        replaced.sidecar.announcement, service='foreign', upstream_id='f'
+    )
+    replaced.sidecar.attach(foreign, replaced.upstream)
+    assert replaced.sidecar.queued == 0
+    cluster.run(0.5)
+    assert replaced.upstream.runs.total() == 1
+    outcomes = {cluster.result(task).outcome for task in tasks}
+    assert outcomes == {verdict.Outcome.ANSWERED, verdict.Outcome.NOT_RUN}
