Start the watch of a relay again after an outage

Related to the watch without an answer: an outage silences the stream of an etcd store as well, and a relay whose lease outlived it did not notice. Its renewals failed and succeeded meanwhile, without effect.

Change: a renewal that succeeds after a failure starts the watch again, which lists all services first.

test_watch_stayed_silent_after_an_outage failed before: a change after an outage of 1.5 s was never in force.

The soak silences waiting polls when the store is down, and checks that a change 3 s after the last fault is found by callers at every node 2 s later.

--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -27,6 +27,11 @@
 STORE_DELAY_MS = 1_500.0
 LOST_WRITE_ANSWERS = 3
 
+# Time without faults after which a change must be in force in time, and that
+# time.
+STABLE_S = 3.0
+CONFIG_APPLY_S = 2.0
+
 _UPSTREAM_FAULTS: dict[schedule.Kind, dict[str, typing.Any]] = {
     schedule.Kind.SLOW_UPSTREAM: {'slow_factor': SLOW_FACTOR},
     schedule.Kind.FAILING_UPSTREAM: {'fail_fast': True},
@@ -101,6 +106,14 @@
     ) -> None:
         """Change the configuration, or raise an error."""
 
+    async def has_newest_configuration(
+        self, host: fleet_module.Host
+    ) -> bool | None:
+        """Return whether a caller finds the latest change at a node.
+
+        The result is None if a caller cannot tell.
+        """
+
     async def revision(self, host: fleet_module.Host) -> int | None:
         """Return the revision in force at a node; None if it is silent."""
 
@@ -157,6 +170,18 @@
         else:
             await self._handlers[event.kind](self, event, host)
 
+    async def change_in_calm(self) -> None:
+        """Change the configuration without faults, and check all nodes.
+
+        What an earlier fault has left behind may still delay the change.
+        """
+        await asyncio.sleep(STABLE_S)
+        await self._fleet.change_configuration(self._fleet.hosts[0], 'calm')
+        await asyncio.sleep(CONFIG_APPLY_S)
+        for host in self._fleet.hosts:
+            if await self._fleet.has_newest_configuration(host) is False:
+                self._history.behind.append(host.node_id)
+
     async def _stop_node(
         self, event: schedule.Event, host: fleet_module.Host
     ) -> None:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -118,6 +118,8 @@
         In the order in which they were read.
     failed_changes : int
         Changes of the configuration that were refused or not answered.
+    behind : list of str
+        Nodes where callers did not find a change in time after the faults.
     """
 
     runs: list[Run] = dataclasses.field(default_factory=list)
@@ -127,6 +129,7 @@
     limits: list[Period] = dataclasses.field(default_factory=list)
     revisions: list[Revision] = dataclasses.field(default_factory=list)
     failed_changes: int = 0
+    behind: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,3 +296,6 @@
         if reading.revision < before:
             yield Finding('configuration', f'{reading} after {before}')
         highest[reading.process_id] = max(before, reading.revision)
+    if history.behind:
+        nodes = ', '.join(history.behind)
+        yield Finding('configuration', f'a change is not in force at {nodes}')
--- a/bench/soak/native_fleet.py
+++ b/bench/soak/native_fleet.py
@@ -36,6 +36,9 @@
         """Announce the upstream to the new process of its node."""
         await self.announce(host)
 
+    async def has_newest_configuration(self, host: fleet.Host) -> None:
+        """Return None: callers do not see which revision is in force."""
+
     async def change_configuration(self, host: fleet.Host, name: str) -> None:
         """Change a service at a node.
 
--- a/bench/soak/platform_fleet.py
+++ b/bench/soak/platform_fleet.py
@@ -31,6 +31,11 @@
 METRICS_TIMEOUT_S = 1.0
 ROUTE_TIMEOUT_MS = 2_000
 CALLER_TIME_MS = 3_000
+# Host and service of the only route that changes with each version.
+CHANGED_HOST = 'changed.example'
+CHANGED_SERVICE = 'catalogo'
+
+_NO_ROUTE = 404
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _MAY_HAVE_RUN_STATUSES = frozenset({502, 504})
@@ -184,27 +189,38 @@
             return None
         return int(scrape.total([text], 'jasminebeam_config_revision'))
 
+    async def has_newest_configuration(self, host: fleet.Host) -> bool | None:
+        """Request the route that the newest version has added."""
+        url = f'http://{host.address}:{host.caller_port}'
+        headers = {
+            'Host': CHANGED_HOST,
+            wire.REQUEST_ID: f'configuration-{self._version}-{host.index}',
+            wire.TIME_LEFT: str(CALLER_TIME_MS),
+        }
+        try:
+            async with asyncio.timeout(CALLER_TIME_MS / 1_000):
+                async with aiohttp.ClientSession() as session:
+                    async with session.get(
+                        f'{url}{self._added_path()}', headers=headers
+                    ) as response:
+                        return response.status != _NO_ROUTE
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+    def _added_path(self) -> str:
+        return f'/{self._version}/'
+
     def _configuration(self) -> bytes:
+        services = {service.name: service for service in self.site.services}
         rules = [
-            {
-                'host': f'{service.name}.example',
-                'rules': [
-                    {
-                        'name': service.name,
-                        'kind': 'safe' if service.idempotent else 'unsafe',
-                        'aimMs': ROUTE_TIMEOUT_MS // 2,
-                        'priority': 1,
-                        'match': {'prefix': '/'},
-                        'action': {
-                            'service': service.name,
-                            'timeoutMs': ROUTE_TIMEOUT_MS + self._version,
-                            'maxAttempts': 3,
-                        },
-                    }
-                ],
-            }
-            for service in self.site.services
+            self._listener(f'{name}.example', service, '/')
+            for name, service in services.items()
         ]
+        rules.append(
+            self._listener(
+                CHANGED_HOST, services[CHANGED_SERVICE], self._added_path()
+            )
+        )
         document = {
             'version': f'{self._version:08x}',
             'limits': {
@@ -225,6 +241,27 @@
         }
         return json.dumps(document).encode()
 
+    def _listener(
+        self, host: str, service: sites.SiteService, prefix: str
+    ) -> dict[str, typing.Any]:
+        return {
+            'host': host,
+            'rules': [
+                {
+                    'name': f'{service.name}{prefix}',
+                    'kind': 'safe' if service.idempotent else 'unsafe',
+                    'aimMs': ROUTE_TIMEOUT_MS // 2,
+                    'priority': 1,
+                    'match': {'prefix': prefix},
+                    'action': {
+                        'service': service.name,
+                        'timeoutMs': ROUTE_TIMEOUT_MS + self._version,
+                        'maxAttempts': 3,
+                    },
+                }
+            ],
+        }
+
     async def _write_first_configuration(self) -> None:
         while True:
             try:
--- a/bench/standins/controlled.py
+++ b/bench/standins/controlled.py
@@ -155,6 +155,8 @@
         self.faults = msgspec.json.decode(
             await request.read(), type=platform_store.Faults
         )
+        if self.faults.silent:
+            self.lose_waiting_answers()
         return web.Response()
 
     async def _put(self, request: web.Request) -> web.Response:
--- a/jasminebeam/configuration/relay.py
+++ b/jasminebeam/configuration/relay.py
@@ -180,29 +180,43 @@
         return 0
 
     async def _hold(self, lease_id: int) -> None:
-        watching = asyncio.create_task(
-            supervision.supervise(self._watch, self._log)
-        )
+        watching = self._start_watch()
         try:
-            await self._keep_alive(lease_id)
+            while await self._keep_alive(lease_id):
+                watching.cancel()
+                watching = self._start_watch()
         finally:
             watching.cancel()
             await asyncio.gather(watching, return_exceptions=True)
             await self._store.revoke_lease(lease_id)
             self._log.write(events.Event.RELAY_LOST, lease=lease_id)
 
-    async def _keep_alive(self, lease_id: int) -> None:
+    def _start_watch(self) -> asyncio.Task[None]:
+        return asyncio.create_task(
+            supervision.supervise(self._watch, self._log)
+        )
+
+    async def _keep_alive(self, lease_id: int) -> bool:
+        """Renew the lease until it is lost, or until an outage has ended.
+
+        Returns
+        -------
+        bool
+            True after an outage: the watch may have become silent.
+        """
         failures = 0
         while failures < 3:
             await asyncio.sleep(self._options.lease_s / 3)
             renewed = await self._store.keep_alive(lease_id)
             self._availability.record(renewed)
             if isinstance(renewed, result.Success):
-                failures = 0
+                if failures:
+                    return True
             elif renewed.failure() is store.StoreError.LEASE_EXPIRED:
-                return
+                return False
             else:
                 failures += 1
+        return False
 
     async def _watch(self) -> None:
         while True:
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -33,6 +33,8 @@
         self.before_write: typing.Callable[[], None] | None = None
         self.revision = 0
         self.watchers: list[tuple[str, asyncio.Queue]] = []
+        # Queues of watches whose connections have gone silent.
+        self.silent_queues: list[asyncio.Queue] = []
 
     async def get(self, key):
         """Return a key and its value, or None if it does not exist."""
@@ -73,9 +75,13 @@
         item = store.KeyValue(key, value, self.revision)
         self.items[key] = item
         for prefix, queue in self.watchers:
-            if key.startswith(prefix):
+            if key.startswith(prefix) and queue not in self.silent_queues:
                 queue.put_nowait(item)
 
+    def silence_watches(self):
+        """Let the connections of all current watches go silent for good."""
+        self.silent_queues += [queue for _, queue in self.watchers]
+
     async def grant_lease(self, ttl_s):
         """Create a lease and return its identifier."""
         if self.down:
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -161,3 +161,8 @@
     assert report.events
     assert report.outcomes['answered']
     assert not report.findings, report.findings
+
+
+def test_node_that_stays_behind_is_found():
+    """A change without faults must be in force at each node."""
+    assert _guarantees([], checks.History(behind=['n1'])) == {'configuration'}
--- a/tests/test_configuration/test_relay.py
+++ b/tests/test_configuration/test_relay.py
@@ -138,6 +138,20 @@
     assert first.get('fees').change_id == 'c2'
 
 
+def test_watch_stayed_silent_after_an_outage(setup):
+    """An outage that is shorter than the lease must not hide changes."""
+    first = setup.add_relay('a')
+    setup.run(2)
+    setup.store.silence_watches()
+    setup.store.down = True
+    setup.run(1.5)
+    setup.store.down = False
+    setup.write()
+    setup.run(3)
+    assert first.revision_of('fees') == setup.store.revision
+    assert len(setup.store.leases) == 1
+
+
 def test_malformed_value_is_refused_and_others_are_applied(setup):
     """A malformed value does not stop the relay."""
     first = setup.add_relay('a')
