--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -301,9 +301,9 @@
                 await self._join()
             elif not (lease_id and renews):
                 await self._contact_seeds(allow_stale=True)
-                self._watch.compare(
-                    self._seeds.store_revision, self._seeds.revisions
-                )
+            self._watch.compare(
+                self._seeds.store_revision, self._seeds.revisions
+            )
             self._publish_contact()
             await self._members.wait_for_delegates(
                 self._call_interval_s(lease_id)
--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -615,7 +615,7 @@
 
 
 @pytest.mark.parametrize('seed', range(5))
-@pytest.mark.parametrize('size', [14, 28, 200])
+@pytest.mark.parametrize('size', [1, 14, 28, 200])
 def test_lost_answers_of_all_watches_went_unnoticed(create_fleet, size, seed):
     """A delegate compares the store's revision with its watch's."""
     fleet = _start_fleet(create_fleet, size, seed)
