Send fault commands to a stand-in upstream one after the other

The two commands went over two connections and arrived in the other order, so the fault stayed.

Ruled out: the nodes, which refused what the upstream had shed, as the events 712 with the reason "shed" show from 02:22.7 on.

Change: the commands to one upstream wait for each other. test_fault_stayed_when_two_of_one_upstream_ended_at_once failed before.

Each soak now ends with an outage of the store, since a node that happens to restart after the last one hides what it has left behind.

--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -27,6 +27,9 @@
 STORE_DELAY_MS = 1_500.0
 LOST_WRITE_ANSWERS = 3
 
+# Outage of the store at the end of a run.
+OUTAGE_S = 1.5
+
 # Time without faults after which a change must be in force in time, and that
 # time.
 STABLE_S = 3.0
@@ -145,6 +148,9 @@
         self._upstream_faults: dict[int, dict[str, typing.Any]] = {
             host.index: {} for host in fleet.hosts
         }
+        self._upstream_locks = {
+            host.index: asyncio.Lock() for host in fleet.hosts
+        }
         # Hosts whose node is stopped, killed or paused.
         self._busy_nodes: set[int] = set()
         # Hosts whose upstream is drained or leaves.
@@ -170,13 +176,17 @@
         else:
             await self._handlers[event.kind](self, event, host)
 
-    async def change_in_calm(self) -> None:
-        """Change the configuration without faults, and check all nodes.
+    async def change_after_outage(self) -> None:
+        """Change the configuration after an outage, and check all nodes.
 
-        What an earlier fault has left behind may still delay the change.
+        No node restarts in between, so what the outage has left behind may
+        still delay the change.
         """
+        await self._fleet.set_store_faults(store.Faults(down=True))
+        await asyncio.sleep(OUTAGE_S)
+        await self._fleet.set_store_faults(store.Faults())
         await asyncio.sleep(STABLE_S)
-        await self._fleet.change_configuration(self._fleet.hosts[0], 'calm')
+        await self._fleet.change_configuration(self._fleet.hosts[0], 'after')
         await asyncio.sleep(CONFIG_APPLY_S)
         for host in self._fleet.hosts:
             if await self._fleet.has_newest_configuration(host) is False:
@@ -295,8 +305,10 @@
         return True
 
     async def _set_upstream_faults(self, host: fleet_module.Host) -> None:
-        active = self._upstream_faults[host.index]
-        await self._fleet.set_upstream_faults(host, upstream.Faults(**active))
+        # Two calls at once could arrive in the other order.
+        async with self._upstream_locks[host.index]:
+            faults = upstream.Faults(**self._upstream_faults[host.index])
+            await self._fleet.set_upstream_faults(host, faults)
 
     async def _with_store_faults(self, event: schedule.Event) -> None:
         if self._store_busy:
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -133,7 +133,7 @@
         events = asyncio.create_task(self._apply_events())
         recorder = await self._send(self._duration_s, 'soak')
         await events
-        await self._actions.change_in_calm()
+        await self._actions.change_after_outage()
         await asyncio.sleep(RECOVERY_S)
         afterwards = await self._send(RECOVERY_CHECK_S, 'after')
         polling.cancel()
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
+import types
 
 import pytest
 
+from bench.soak import actions as soak_actions
 from bench.soak import checks
 from bench.soak import native_fleet
 from bench.soak import platform_fleet
 from bench.soak import schedule
 from bench.soak import soak
+from bench.standins import upstream
 from bench import traffic
 from tests import ports
 
@@ -166,3 +170,33 @@
 def test_node_that_stays_behind_is_found():
     """A change without faults must be in force at each node."""
     assert _guarantees([], checks.History(behind=['n1'])) == {'configuration'}
+
+
+class SlowFleet:
+    """Fleet of one host where the third of four commands takes long."""
+
+    def __init__(self):
+        self.hosts = [types.SimpleNamespace(index=0, upstream_port=PORT)]
+        self.faults = None
+        self._delays_s = [0.0, 0.0, 0.05, 0.0]
+
+    async def set_upstream_faults(self, host, faults):
+        """Apply the faults after a delay."""
+        await asyncio.sleep(self._delays_s.pop(0))
+        self.faults = faults
+
+
+async def test_fault_stayed_when_two_of_one_upstream_ended_at_once():
+    """The command that ends the last fault must arrive last."""
+    fleet = SlowFleet()
+    actions = soak_actions.Actions(fleet, checks.History(), 0.0)
+    await asyncio.gather(
+        *(
+            actions.apply(schedule.Event(0.0, kind, 0, 0.05, 1.0))
+            for kind in (
+                schedule.Kind.FAILING_UPSTREAM,
+                schedule.Kind.SHEDDING_UPSTREAM,
+            )
+        )
+    )
+    assert fleet.faults == upstream.Faults()
