--- a/jasminebeam/inputs.py
+++ b/jasminebeam/inputs.py
@@ -116,7 +116,7 @@
 
     Examples
     --------
-    >>> decoder = msgspec.json.Decoder(dict)
+    >>> decoder = msgspec.json.Decoder()
     >>> decode(decoder, 100_000 * b'[').failure()
     'nested too deeply'
     """
--- a/jasminebeam/upstreams/notices.py
+++ b/jasminebeam/upstreams/notices.py
@@ -55,8 +55,9 @@
 
     Examples
     --------
-    >>> parse(['8.5', '7, nan'], '1')
-    Notice(limit_per_s=7.0, leaving=True, malformed_limit='nan')
+    >>> parse(['8.5', '7, nan'], '1')  # doctest: +NORMALIZE_WHITESPACE
+    Notice(limit_per_s=7.0, leaving=True, malformed_limit='nan',
+           malformed_load='')
     """
     if not limit_texts and not leaving_text:
         return upstreams.NO_NOTICE
