--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -275,14 +275,14 @@
         self._log.write(events.Event.RELAY_ACQUIRED, duty=duty.value)
         self._serving = True
         try:
-            await self._call_until_relieved()
+            await self._call_until_replaced()
         finally:
             self._serving = False
             watching.cancel()
             await asyncio.gather(watching, return_exceptions=True)
             self._log.write(events.Event.RELAY_LOST)
 
-    async def _call_until_relieved(self) -> None:
+    async def _call_until_replaced(self) -> None:
         """Call the store until other nodes are the delegates.
 
         A registration is not revoked: it ends with its lease, and until
--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -642,7 +642,7 @@
     fleet.assert_in_force(3)
     without.clear()
     fleet.advance(10.0)
-    # The substitutes are relieved.
+    # The substitutes have stopped watching.
     duties = [node.duty() for node in fleet.nodes]
     assert delegates.Duty.SUBSTITUTE not in duties
     assert all(node.has_store_contact for node in fleet.nodes)
