--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -31,6 +31,8 @@
 # Bound on the time until a confirmed change is in force.
 APPLY_S = 2.0
 JOIN_DELAY_S = 0.05
+# Time after which the failure detector suspects a member that is silent.
+DETECTION_S = 5.0
 # Cost of a stale read and of a renewal, relative to other calls.
 CHEAP_RATIO = 0.1
 ROUTES_KEY = 'op/config'
@@ -422,6 +424,18 @@
             node.group.discard(node)
             node.group = Group(node)
 
+    def silence(self, nodes):
+        """End nodes; the others take them for alive for a while."""
+        for node in nodes:
+            node.task.cancel()
+            node.up = False
+        self.loop.call_later(DETECTION_S, self._discard, list(nodes))
+
+    def _discard(self, nodes):
+        for node in nodes:
+            node.group.discard(node)
+            node.group.on_change()
+
     def lose_answers(self):
         """Lose the answer of each call and of each poll in progress."""
         self.store.losses += 1
@@ -692,6 +706,20 @@
     fleet.assert_in_force(3)
 
 
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt, 8')
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('size', [15, 28, 72, 200])
+def test_change_was_late_when_all_watchers_vanished(create_fleet, size, seed):
+    """The other nodes know a change although no watcher is left."""
+    fleet = _start_fleet(create_fleet, size, seed)
+    fleet.silence(
+        [node for node in fleet.nodes if node.node_id in fleet.delegates()]
+    )
+    fleet.advance(0.2)
+    fleet.write_routes(2)
+    fleet.assert_in_force(2)
+
+
 def test_malformed_seeds_are_ignored(create_fleet):
     """Values that are no addresses must not stop a node from joining."""
     fleet = create_fleet(3)
