Tell in the line of each request whence the node has its routes

Callers saw requests handled as only an older version allows. The line of a request named the revision and the age of the last store contact, which tell "not learnt" from "learnt and not served", but not from whom a set was learned: a set lost on the way to some nodes, and a node that starts with the older set of a peer, looked alike.

Events 702 and 703 now name the source of the route set in force (`routes_from`) and the time since it came into force (`routes_age_ms`); event 506 names its `source`. The source is `store`, the node whose heartbeat first announced the revision, or `peer` for the answer to the join of a node: that message does not name its sender.

`jasminebeam-ctl hosts ADDRESS...` lists the revision in force and the age of the last store contact by host, from the metrics that each node serves. It needs no change to operators.proto, and works on the users' platform, where nodes open no operators' port.

What these lines would have shown for the users' three requests (at nodes 15, 20 and 4 of a failure domain): with all watchers lost, the older revision, an age of seconds and no 506 of the newer one at any node; with a set lost on the way, a small age, and 506 at other nodes of the domain; with a peer that was behind, a `routes_age_ms` of less than the time since the start, and an older 506 at the node that `routes_from` names; with a request that waited, a `routes_age_ms` below `took_ms`.

--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -59,8 +59,9 @@
     is_running : callable
         Returns True if the upstream on this host is running the request
         with the given identifier.
-    store_age_ms : callable
-        Returns the time since the store last answered a node, for the log.
+    configuration_state : callable
+        Returns whence and how recently the node knows its configuration, as
+        fields for the log.
     """
 
     def __init__(
@@ -75,9 +76,9 @@
         log: events.EventLog,
         counters: metrics.Metrics,
         is_running: typing.Callable[[str], bool],
-        store_age_ms: typing.Callable[[], int],
+        configuration_state: typing.Callable[[], dict[str, object]],
     ) -> None:
-        self._store_age_ms = store_age_ms
+        self._configuration_state = configuration_state
         self._is_running = is_running
         self._matcher = matcher
         self._dispatcher = dispatch
@@ -239,7 +240,7 @@
             host=request.host,
             path=request.path,
             revision=self._matcher.revision,
-            store_age_ms=self._store_age_ms(),
+            **self._configuration_state(),
         )
         if not self._matcher.revision:
             result = verdict.not_run(verdict.Reason.NO_CONFIGURATION)
--- a/jasminebeam/cmd/ctl.py
+++ b/jasminebeam/cmd/ctl.py
@@ -21,6 +21,7 @@
 
 from jasminebeam.operators.generated import operators_grpc
 from jasminebeam.operators.generated import operators_pb2
+from jasminebeam.operators import host_states
 
 _ADDRESS = flags.DEFINE_string(
     'address', '127.0.0.1:7003', 'host:port of the node to call.'
@@ -176,6 +177,19 @@
             )
 
 
+async def _hosts(stub: Stub, arguments: list[str]) -> None:
+    if not arguments:
+        raise UsageError(f'usage: jasminebeam-ctl {COMMANDS["hosts"].usage}')
+    states = await host_states.read_all(arguments)
+    # Hosts that are behind, or do not answer, come first.
+    states.sort(key=lambda state: (state.revision or 0, state.address))
+    rows = [dataclasses.asdict(state) for state in states]
+    if _JSON.value:
+        print(json.dumps(rows, indent=2))
+        return
+    print(tabulate.tabulate(rows, headers='keys', missingval='no answer'))
+
+
 COMMANDS = {
     'create': Command('create FILE', 'Create a service.', 1, _create),
     'update': Command(
@@ -192,6 +206,12 @@
     'where': Command(
         'where NAME', 'Show where a revision is in force.', 1, _where
     ),
+    'hosts': Command(
+        'hosts METRICS_ADDRESS...',
+        'Show the revision and the age of the last store contact by host.',
+        -1,
+        _hosts,
+    ),
     'drain': Command('drain NODE', 'Drain the upstream of a node.', 1, _drain),
     'events': Command('events', 'Print events as they happen.', 0, _events),
 }
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -110,8 +110,9 @@
         Record requests, attempts, ejections, retries and hedges.
     admission : AdmissionClient
         Asks sidecars whether they would accept a request.
-    store_age_ms : callable
-        Returns the time since the store last answered a node, for the log.
+    configuration_state : callable
+        Returns whence and how recently the node knows its configuration, as
+        fields for the log.
     """
 
     def __init__(
@@ -123,9 +124,9 @@
         log: events.EventLog,
         counters: metrics.Metrics,
         admission: admission_client.AdmissionClient,
-        store_age_ms: typing.Callable[[], int] = lambda: -1,
+        configuration_state: typing.Callable[[], dict[str, object]] = dict,
     ) -> None:
-        self._store_age_ms = store_age_ms
+        self._configuration_state = configuration_state
         self._admission = admission
         self._selector = selector
         self._peer_provider = provider
@@ -175,7 +176,7 @@
             route=call.route,
             priority=call.priority,
             revision=call.revision,
-            store_age_ms=self._store_age_ms(),
+            **self._configuration_state(),
             outcome=result.outcome.value,
             reason=result.reason.value,
             status=result.answer.status if result.answer else 0,
--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -29,6 +29,10 @@
 SYNC_CHUNK_RECORDS = 200
 SMALL_FLEET_MEMBERS = 500
 
+# Sources of a route set that are no node.
+STORE_SOURCE = 'store'
+PEER_SOURCE = 'peer'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Options:
@@ -93,6 +97,9 @@
         Revisions that have come into force.
     route_set : RouteSet or None
         Route set that has come into force.
+    routes_source : str
+        Whence that set came: `STORE_SOURCE`, the first peer that announced
+        its revision, or `PEER_SOURCE` if no heartbeat had announced it.
     refuted : bool
         True if this node has refuted a record about itself.
     unreachable, recovered : frozenset of str
@@ -107,6 +114,7 @@
         default_factory=list
     )
     route_set: routes.RouteSet | None = None
+    routes_source: str = ''
     refuted: bool = False
     unreachable: frozenset[str] = frozenset()
     recovered: frozenset[str] = frozenset()
@@ -153,6 +161,8 @@
         )
         self._directory = services_in_force
         self._routes = routes_in_force
+        # First node that announced each revision newer than that in force.
+        self._routes_announcers: dict[int, str] = {}
         self._generator = generator
         self._options = options
         self._detector = detector.FailureDetector(
@@ -213,7 +223,7 @@
     def adopt_routes(self, new: routes.RouteSet) -> Effects:
         """Put a route set in force if newer; notify partners immediately."""
         effects = Effects()
-        self._apply_routes(new, effects)
+        self._apply_routes(new, STORE_SOURCE, effects)
         return effects
 
     def tick(self, now_ms: float) -> Effects:
@@ -304,6 +314,9 @@
         if effects.revisions:
             self._push(self._push_targets(), effects)
         if message.routes_revision > self._routes.revision:
+            self._routes_announcers.setdefault(
+                message.routes_revision, message.node_id
+            )
             effects.replies.append(messages.RoutesQuery(self._routes.revision))
         self._request_sync_if_due(message, effects)
 
@@ -571,7 +584,9 @@
         if isinstance(message, messages.RoutesQuery):
             self._reply_with_newer_routes(message.revision, effects)
         elif isinstance(message, messages.RoutesReply):
-            self._apply_routes(message.route_set, effects)
+            new = message.route_set
+            source = self._routes_announcers.get(new.revision, PEER_SOURCE)
+            self._apply_routes(new, source, effects)
 
     def _reply_with_newer_routes(
         self, peer_revision: int, effects: Effects
@@ -579,9 +594,17 @@
         if self._routes.revision > peer_revision:
             effects.replies.append(messages.RoutesReply(self._routes.current))
 
-    def _apply_routes(self, new: routes.RouteSet, effects: Effects) -> None:
+    def _apply_routes(
+        self, new: routes.RouteSet, source: str, effects: Effects
+    ) -> None:
         if self._routes.apply(new):
+            self._routes_announcers = {
+                revision: node_id
+                for revision, node_id in self._routes_announcers.items()
+                if revision > new.revision
+            }
             effects.route_set = new
+            effects.routes_source = source
             self._push(self._push_targets(), effects)
 
     def _apply_revisions(
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -47,7 +47,7 @@
     on_revision : callable
         Receives each revision that has come into force.
     on_routes : callable
-        Receives each route set that has come into force.
+        Receives each route set that has come into force, and its source.
     on_unreachable : callable
         Receives the set of unreachable failure domains when it changes.
     clock : callable
@@ -64,7 +64,7 @@
         service_directory: directory.ServiceDirectory,
         on_member: typing.Callable[[upstreams.Member], None],
         on_revision: typing.Callable[[services.ServiceRevision], None],
-        on_routes: typing.Callable[[routes.RouteSet], None],
+        on_routes: typing.Callable[[routes.RouteSet, str], None],
         on_unreachable: typing.Callable[[frozenset[str]], None],
         clock: typing.Callable[[], float],
         log: events.EventLog,
@@ -303,7 +303,7 @@
         for revision in effects.revisions:
             self._on_revision(revision)
         if effects.route_set is not None:
-            self._on_routes(effects.route_set)
+            self._on_routes(effects.route_set, effects.routes_source)
         if effects.refuted:
             version = self.local_member.version
             self._log.write(events.Event.SELF_REFUTED, version=version)
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -118,6 +118,8 @@
         )
         self.probes = probing.ProbePlanner()
         self.sidecar = self._create_sidecar(boot_id)
+        self._routes_source = ''
+        self._routes_applied_ms = 0.0
         self.sidecar.on_leaving = self._on_upstream_leaving
         self._gossip_options = gossip.Options()
         self.membership = self._create_membership()
@@ -464,7 +466,7 @@
             admission_client.AdmissionClient(
                 self.pool, cost_parameters, clock.monotonic_ms
             ),
-            self.membership.store_age_ms,
+            self._configuration_state,
         )
         self._callers = http.CallerServer(
             self._adapter.matcher(self),
@@ -479,7 +481,7 @@
             self.log,
             self.metrics,
             self.sidecar.is_running,
-            self.membership.store_age_ms,
+            self._configuration_state,
         )
 
     def is_relay_candidate(self) -> bool:
@@ -492,6 +494,18 @@
         )
         return local_member.node_id in candidate_ids
 
+    def _configuration_state(self) -> dict[str, object]:
+        """Return whence and how recently this node knows its routes."""
+        routes_age_ms = messages.UNKNOWN_AGE_MS
+        if self._routes_source:
+            age_ms = clock.monotonic_ms() - self._routes_applied_ms
+            routes_age_ms = round(age_ms)
+        return {
+            'store_age_ms': self.membership.store_age_ms(),
+            'routes_from': self._routes_source,
+            'routes_age_ms': routes_age_ms,
+        }
+
     def _store_age_s(self) -> float:
         age_ms = self.membership.store_age_ms()
         return age_ms / 1_000 if age_ms >= 0 else age_ms
@@ -526,7 +540,11 @@
             change_id=revision.change_id,
         )
 
-    def _on_routes(self, route_set: routes_model.RouteSet) -> None:
+    def _on_routes(
+        self, route_set: routes_model.RouteSet, source: str
+    ) -> None:
+        self._routes_source = source
+        self._routes_applied_ms = clock.monotonic_ms()
         for service in route_set.services:
             self.routes.invalidate(service.name)
         self.metrics.config_revision.set(route_set.revision)
@@ -538,6 +556,7 @@
             events.Event.ROUTES_APPLIED,
             revision=route_set.revision,
             routes=len(route_set.routes),
+            source=source,
         )
 
     def _on_unreachable_domains(self, domains: frozenset[str]) -> None:
--- a/tests/test_operators/test_ctl.py
+++ b/tests/test_operators/test_ctl.py
@@ -125,6 +125,19 @@
     assert (await ctl.run('create', path))[0] == 4
 
 
+async def test_versions_and_store_contacts_by_host_were_not_shown(ctl):
+    """The command lists each host; one that does not answer comes first."""
+    await ctl.run('create', ctl.write_service())
+    port = ctl.node._settings.upstream.announce_port
+    addresses = f'127.0.0.1:{port}', f'127.0.0.1:{ports.free_port()}'
+    listed = json.loads((await ctl.run('--json', 'hosts', *addresses))[1])
+    assert [row['address'] for row in listed] == [addresses[1], addresses[0]]
+    assert listed[0]['revision'] is None
+    assert listed[1]['revision'] == ctl.node.services.highest_revision
+    assert 'no answer' in (await ctl.run('hosts', *addresses))[1]
+    assert (await ctl.run('hosts'))[0] == 2
+
+
 async def test_client_without_a_certificate_gets_no_answer(ctl):
     """A client without a certificate exits with the code for unavailable."""
     refused = await ctl.run('list', flags=ctl.server_flags)
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -11,6 +11,7 @@
 from jasminebeam.model import upstreams
 from jasminebeam import node
 from jasminebeam.platform import adapter
+from jasminebeam.telemetry import events
 from tests import platform_cluster
 
 
@@ -418,10 +419,43 @@
         )
     await cluster.send_request()
     await cluster.send_request(path='/none/')
-    ages_ms = {
-        name: fields['store_age_ms']
-        for name, fields in ended
-        if 'store_age_ms' in fields
+    lines = {
+        name: fields for name, fields in ended if 'store_age_ms' in fields
     }
-    assert set(ages_ms) == {'REQUEST_ENDED', 'REQUEST_UNMATCHED'}
-    assert min(ages_ms.values()) >= 0
+    assert set(lines) == {'REQUEST_ENDED', 'REQUEST_UNMATCHED'}
+    assert min(fields['store_age_ms'] for fields in lines.values()) >= 0
+    assert min(fields['routes_age_ms'] for fields in lines.values()) >= 0
+
+
+async def test_line_of_a_request_did_not_tell_whence_its_routes_came(cluster):
+    """It names the store, or the peer from which the node has the set."""
+    for _ in range(4):
+        await cluster.add_host()
+    sources = {}
+    for created in cluster.nodes:
+        node_id = created.membership.local_member.node_id
+
+        def record(event, node_id=node_id, **fields):
+            if event is events.Event.ROUTES_APPLIED:
+                sources[node_id] = fields['source']
+            if event is events.Event.REQUEST_ENDED:
+                sources['request'] = fields['routes_from']
+
+        created.log.write = record
+    await cluster.store.put(
+        'op/config', platform_cluster.configuration(version=2)
+    )
+    await cluster.wait_until(
+        lambda: all(
+            created.route_sets.revision == 2 for created in cluster.nodes
+        )
+    )
+    # Two nodes of the only failure domain call the store.
+    assert 'store' in sources.values()
+    assert set(sources.values()) <= {'store', 'n0', 'n1', 'n2', 'n3', 'peer'}
+    learned = [name for name, source in sources.items() if source != 'store']
+    assert learned
+    index = int(learned[0][1:])
+    assert (await cluster.send_request(index=index))[0] == 200
+    assert sources['request'] == sources[learned[0]]
+    assert sources['request'] != learned[0]
