Match a request again if the routes change while its body arrives

A request whose head came before a change and whose body ended after it was in force, by any time up to its deadline, ran at the old service, or over a route that had been removed. Callers see a request that was completely sent after the bound handled as only an older version allows.

Cause: the route was matched once, when the head was complete; reading the body has no other bound than the deadline. Ruled out as places where a request ages before it is matched: requests that wait behind others on their connection are matched when their turn comes, and a queue or a repeat only ever holds requests that were matched at a time when they were complete.

Change: if the revision has risen while the body arrived, the request is matched again, and refused as unmatched if its route is gone. A request without a change meanwhile is matched once as before.

test_request_completed_after_a_move_ran_at_the_old_service failed before (['fees'] instead of ['seats']) and so did test_request_completed_after_a_removal_ran (200 instead of 404).

--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -191,10 +191,16 @@
     async def _respond(
         self, request: web.BaseRequest, started_ms: float
     ) -> web.Response:
-        match = self._matcher.route(request.host, request.method, request.path)
+        match = self._match(request)
         if match is None:
             return self._refuse_unmatched(request)
+        revision = self._matcher.revision
         body = await self._read_body(request)
+        if self._matcher.revision != revision:
+            # The body may have taken longer than a change.
+            match = self._match(request)
+            if match is None:
+                return self._refuse_unmatched(request)
         call = self._create_call(request, match, body, started_ms)
         result = await self._dispatch(call, match)
         if match.service.probe_share:
@@ -208,6 +214,9 @@
         )
         return self._dialect.write_verdict(result, retry_after_ms)
 
+    def _match(self, request: web.BaseRequest) -> routes.RouteMatch | None:
+        return self._matcher.route(request.host, request.method, request.path)
+
     async def _dispatch(
         self, call: requests.Call, match: routes.RouteMatch
     ) -> verdict.Verdict:
--- a/tests/test_platform/test_added_routes.py
+++ b/tests/test_platform/test_added_routes.py
@@ -392,6 +392,23 @@
         assert site.services_that_ran(request_id) == ['seats']
 
 
+async def test_request_completed_after_a_removal_ran(site):
+    """A route that was removed while the body arrived is not used."""
+    release = asyncio.Event()
+
+    async def body():
+        yield b'a'
+        await release.wait()
+
+    sending = asyncio.create_task(site.send(0, '/fee/1', data=body()))
+    await asyncio.sleep(0.1)
+    await site.put_in_force(2, [ADDED])
+    release.set()
+    request_id, status = await sending
+    assert status == 404
+    assert not site.services_that_ran(request_id)
+
+
 async def test_kept_connection_used_the_routes_of_its_first_request(site):
     """Requests on one connection follow each change."""
     address = site.cluster.settings[0].adapter.callers
