--- a/tests/test_platform/test_added_routes.py
+++ b/tests/test_platform/test_added_routes.py
@@ -23,6 +23,9 @@
 # Platform's bound on the time from the acknowledgement of a version until it
 # is in force.
 CONFIG_APPLY_S = 2.0
+# Platform's bound on how often routes that were added are served, as a share
+# of how often the first ones are.
+MIN_SERVED_RATIO = 0.25
 
 FIRST_HOST = platform_cluster.HOST
 ADDED_HOST = 'added.example'
@@ -257,6 +260,52 @@
     assert served == {'/fee/': 60, ADDED_PATH: 60}
 
 
+async def _send_steadily(site, targets, per_s, duration_s):
+    """Send requests to all targets in turn; return the share served by each.
+
+    The requests go to all nodes in turn, each over a connection of its own.
+    """
+    sending = []
+    number = 0
+    started_s = time.monotonic()
+    while time.monotonic() - started_s < duration_s:
+        target = targets[number % len(targets)]
+        index = number // len(targets) % len(site.cluster.nodes)
+        task = asyncio.create_task(site.send(index, target))
+        sending.append((target, task))
+        number += 1
+        await asyncio.sleep(started_s + number / per_s - time.monotonic())
+    statuses = {target: [] for target in targets}
+    for target, task in sending:
+        statuses[target].append((await task)[1])
+    return {
+        target: found.count(200) / len(found)
+        for target, found in statuses.items()
+    }
+
+
+@pytest.mark.parametrize('kind', ['unsafe', 'safe'])
+async def test_added_route_starved_behind_the_first_in_overload(site, kind):
+    """Routes of one service and priority share it, whichever came first.
+
+    The first route has filled all slots and queues when the other is added.
+    """
+    first = (FIRST_HOST, '/fee/', 'fees', kind)
+    added = (FIRST_HOST, ADDED_PATH, 'fees', kind)
+    await site.put_in_force(2, [first])
+    for stand_in in site.upstreams('fees'):
+        stand_in.service_time_s = 0.2
+    await _send_steadily(site, ['/fee/1'], 150, 1.5)
+    filling = asyncio.create_task(
+        _send_steadily(site, ['/fee/1'], 100, 1.0),
+    )
+    await site.put_in_force(3, [first, added])
+    await filling
+    served = await _send_steadily(site, ['/fee/1', ADDED_PATH], 200, 2.0)
+    assert served['/fee/1'] < 0.9
+    assert served[ADDED_PATH] > MIN_SERVED_RATIO * served['/fee/1']
+
+
 async def test_500_routes_were_late_or_not_served(site):
     """A set of 500 routes is learned by all nodes, and its last is served."""
     routes = [
@@ -392,6 +441,29 @@
         assert site.services_that_ran(request_id) == ['seats']
 
 
+async def test_pipelined_request_ran_by_the_routes_of_its_arrival(site):
+    """A request that waits behind another is matched when its turn comes."""
+    release = asyncio.Event()
+    for stand_in in site.upstreams('fees'):
+        stand_in.held['ahead'] = release
+    address = site.cluster.settings[0].adapter.callers
+    host, _, port = address.rpartition(':')
+    _, writer = await asyncio.open_connection(host, int(port))
+    for request_id in ('ahead', 'behind'):
+        writer.write(
+            f'POST /fee/1 HTTP/1.1\r\nHost: {FIRST_HOST}\r\n'
+            f'Request-Id: {request_id}\r\nDeadline-Ms: 1400\r\n'
+            'Content-Length: 0\r\n\r\n'.encode()
+        )
+    await site.cluster.wait_until(lambda: site.services_that_ran('ahead'))
+    await site.put_in_force(2, [(FIRST_HOST, '/fee/', 'seats', 'unsafe')])
+    release.set()
+    await site.cluster.wait_until(lambda: site.services_that_ran('behind'))
+    assert site.services_that_ran('ahead') == ['fees']
+    assert site.services_that_ran('behind') == ['seats']
+    writer.close()
+
+
 async def test_request_completed_after_a_removal_ran(site):
     """A route that was removed while the body arrived is not used."""
     release = asyncio.Event()
