Pass the place of a host through the fixture of the stop tests

The stand-in cluster creates hosts in several failure domains; two tests of stops replace its function and took only the name, so they failed.

--- a/tests/test_platform/test_stop.py
+++ b/tests/test_platform/test_stop.py
@@ -30,8 +30,8 @@
     await created.start()
     made = created.node_settings
 
-    def node_settings(name):
-        loaded = made(name)
+    def node_settings(name, *args):
+        loaded = made(name, *args)
         section = msgspec.structs.replace(
             loaded.node.node, stop_timeout_ms=STOP_TIMEOUT_MS
         )
