Measure how late a change is when the watchers of the store are lost

What callers saw: requests run by the service of an older version, and added routes not served, after all nodes that watch the store had vanished at one moment.

`jasminebeam-bench watchers` plays it with real processes, at any number of nodes: it pauses, kills or stops a set of nodes, writes a change that adds a route, and asks each untouched node for that route each 0.1 s. The sets are planned by pure functions. The stand-in network can cut single hosts from all others, and the stand-in store tells its calls by kind.

Conclusion: nodes are late when every node that watches the store in their reach is lost without a notice, whatever the means.

--- a/bench/cmd.py
+++ b/bench/cmd.py
@@ -14,17 +14,22 @@
 
 from bench import emulation
 from bench import experiment
+from bench import loss_plans
 from bench import report
 from bench.soak import native_fleet
 from bench.soak import platform_fleet
 from bench.soak import soak
+from bench import watchers
 
 _OUTPUT = flags.DEFINE_string(
     'output', 'build/bench', 'Directory for results.'
 )
 _LIST = flags.DEFINE_bool('list', False, 'List the experiments and exit.')
 _ROUNDS = flags.DEFINE_integer(
-    'rounds', 0, 'Slices per policy; 0 for the number in the experiment file.'
+    'rounds',
+    0,
+    'Slices per policy, 0 for the number in the experiment file; or runs of '
+    'each loss of watchers.',
 )
 
 _SEED = flags.DEFINE_integer(
@@ -45,10 +50,24 @@
     'Interfaces of the nodes in the soak.',
 )
 
+_NODES = flags.DEFINE_integer(
+    'nodes', 15, 'Number of nodes that lose the watchers of the store.'
+)
+_SETS = flags.DEFINE_list(
+    'sets', ['delegates'], 'Sets of nodes that are lost.'
+)
+_MEANS = flags.DEFINE_list(
+    'means', ['paused', 'killed', 'stopped'], 'How they are lost.'
+)
+_CHANGE_AFTER_S = flags.DEFINE_list(
+    'change_after', ['0.2'], 'Times in seconds between a loss and a change.'
+)
+
 EXIT_INVALID_RESULT = 1
 EXIT_USAGE = 2
 
 SOAK = 'soak'
+WATCHERS = 'watchers'
 
 
 async def _run_experiment(name: str, plan: experiment.Plan) -> bool:
@@ -88,6 +107,27 @@
     return kept
 
 
+async def _run_watchers() -> bool:
+    """Lose the watchers of the store; return False if a change is late."""
+    set_names = _SETS.value
+    created = watchers.Experiment(
+        _NODES.value,
+        pathlib.Path(_OUTPUT.value) / f'{WATCHERS}-{_NODES.value}',
+        with_network=not loss_plans.CUT_SETS.isdisjoint(set_names),
+    )
+    results = []
+    async for result in created.run(
+        set_names,
+        [loss_plans.Means(name) for name in _MEANS.value],
+        [float(text) for text in _CHANGE_AFTER_S.value],
+        _ROUNDS.value or 1,
+    ):
+        print(result, file=sys.stderr, flush=True)
+        results.append(result)
+    print(watchers.table(results))
+    return all(result.in_time for result in results)
+
+
 def main(arguments: typing.Sequence[str]) -> int:
     """Run the named experiments, or the soak.
 
@@ -95,11 +135,16 @@
     -------
     int
         0 if all results are valid, 1 if a result is invalid because the
-        load generator lagged behind its schedule or if the soak found a
-        violation, or 2 if an experiment
-        is unknown or its file is invalid.
+        load generator lagged behind its schedule, if the soak found a
+        violation or if a change was late after a loss of watchers, or 2 if
+        an experiment is unknown or its file is invalid.
     """
-    experiment_names = [*experiment.names(), *emulation.PLANS, SOAK]
+    experiment_names = [
+        *experiment.names(),
+        *emulation.PLANS,
+        SOAK,
+        WATCHERS,
+    ]
     if _LIST.value or len(arguments) < 2:
         print('\n'.join(experiment_names))
         return 0
@@ -108,6 +153,9 @@
         if name == SOAK:
             valid = _run_soak() and valid
             continue
+        if name == WATCHERS:
+            valid = uvloop.run(_run_watchers()) and valid
+            continue
         if name in emulation.PLANS:
             print(emulation.compare(name, _SEED.value))
             continue
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -254,6 +254,10 @@
             name = f'{role}-{host.node_id}'
             self._processes.send_signal(name, signal_number)
 
+    def log_path(self, host: Host) -> pathlib.Path:
+        """Return the path of a node's log."""
+        return self.options.directory / f'node-{host.node_id}.log'
+
     def process_id(self, host: Host) -> int:
         """Return the process id of a node."""
         return self._processes.process_id(f'node-{host.node_id}')
--- a/bench/soak/platform_fleet.py
+++ b/bench/soak/platform_fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import itertools
 import json
 import pathlib
 import signal
@@ -87,6 +89,7 @@
         self._run_counter_port = options.first_port + 1
         self._network_control_port = options.first_port + 2
         self._version = 0
+        self._request_numbers = itertools.count(1)
         self._processes = processes.Processes(options.directory)
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -101,17 +104,17 @@
         await self._spawn_stand_in(
             'store', 'platform-store', str(self._store_port)
         )
-        options = fleet.network_options(
-            self.site,
-            self.hosts,
-            self._network_control_port,
-            self.options.seed,
-        )
-        await self._spawn_stand_in('network', 'relay', _encode(options))
+        if self.options.with_network:
+            await self._start_network()
         async with asyncio.timeout(READY_TIMEOUT_S):
             await self._write_first_configuration()
             for host in self.hosts:
                 await self._start_host(host)
+        await self.wait_for_members()
+
+    async def wait_for_members(self) -> None:
+        """Wait until each node knows all others and a configuration."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
             for host in self.hosts:
                 while not await self._knows_all_members(host):
                     await asyncio.sleep(0.2)
@@ -139,6 +142,10 @@
         await self._processes.wait(_node_name(host))
         await self._start_node(host)
 
+    def log_path(self, host: fleet.Host) -> pathlib.Path:
+        """Return the path of a node's log."""
+        return self.options.directory / f'{_node_name(host)}.log'
+
     def process_id(self, host: fleet.Host) -> int:
         """Return the process id of a node."""
         return self._processes.process_id(_node_name(host))
@@ -194,7 +201,7 @@
         url = f'http://{host.address}:{host.caller_port}'
         headers = {
             'Host': CHANGED_HOST,
-            wire.REQUEST_ID: f'configuration-{self._version}-{host.index}',
+            wire.REQUEST_ID: f'configuration-{next(self._request_numbers)}',
             wire.TIME_LEFT: str(CALLER_TIME_MS),
         }
         try:
@@ -207,6 +214,18 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return None
 
+    @property
+    def version(self) -> int:
+        """Version of the newest configuration."""
+        return self._version
+
+    async def store_calls(self) -> collections.Counter[str]:
+        """Return the number of calls that the store has had, by kind."""
+        url = f'http://127.0.0.1:{self._store_port}/-/calls'
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as response:
+                return collections.Counter(await response.json())
+
     def _added_path(self) -> str:
         return f'/{self._version}/'
 
@@ -271,6 +290,15 @@
                 # The store is not listening yet.
                 await asyncio.sleep(0.1)
 
+    async def _start_network(self) -> None:
+        options = fleet.network_options(
+            self.site,
+            self.hosts,
+            self._network_control_port,
+            self.options.seed,
+        )
+        await self._spawn_stand_in('network', 'relay', _encode(options))
+
     async def _start_host(self, host: fleet.Host) -> None:
         await self._start_node(host)
         service = next(
@@ -320,6 +348,8 @@
         text = TEMPLATE.read_text()
         for placeholder, value in values.items():
             text = text.replace('{{' + placeholder + '}}', str(value))
+        if not self.options.with_network:
+            return text
         advertised = f'{fleet.network_address(host)}:{host.peer_port}'
         return text.replace(
             '[peering]\n', f'[peering]\nadvertise_address = {advertised}\n'
--- a/bench/standins/controlled.py
+++ b/bench/standins/controlled.py
@@ -141,7 +141,8 @@
     """Store whose faults and keys are set by ``POST /-/...``.
 
     ``/-/faults`` takes `platform_store.Faults`; ``/-/put?key=KEY`` writes
-    the body, as the operator does.
+    the body, as the operator does. ``GET /-/calls`` returns the number of
+    calls by kind.
     """
 
     def extra_routes(self) -> list[web.RouteDef]:
@@ -149,6 +150,7 @@
         return [
             web.post('/-/faults', self._set_faults),
             web.post('/-/put', self._put),
+            web.get('/-/calls', self._count_calls),
         ]
 
     async def _set_faults(self, request: web.Request) -> web.Response:
@@ -159,6 +161,9 @@
             self.lose_waiting_answers()
         return web.Response()
 
+    async def _count_calls(self, request: web.Request) -> web.Response:
+        return web.json_response(self.calls)
+
     async def _put(self, request: web.Request) -> web.Response:
         await self.put(request.query['key'], await request.read())
         return web.Response()
--- a/bench/standins/network.py
+++ b/bench/standins/network.py
@@ -59,6 +59,8 @@
     ----------
     failure_domain : str
         Failure domain that has the faults; empty for none.
+    hosts : tuple of str
+        Addresses of hosts that have them on all paths.
     delay_factor : float
         Factor on the delay.
     loss_ratio : float
@@ -75,6 +77,7 @@
     """
 
     failure_domain: str = ''
+    hosts: tuple[str, ...] = ()
     delay_factor: float = 1.0
     loss_ratio: float = 0.0
     silent: bool = False
@@ -127,7 +130,11 @@
         """Open the connection to the target of an inbound connection."""
         route = inbound.route
         domain = self._options.domains.get(source_host, '')
-        connection = _ProxiedConnection(self, {domain, route.failure_domain})
+        connection = _ProxiedConnection(
+            self,
+            {domain, route.failure_domain},
+            {source_host, route.target_host},
+        )
         if self._is_cut(connection):
             inbound.transport.abort()
             return
@@ -156,6 +163,8 @@
         self._connections.discard(connection)
 
     def _is_affected(self, connection: _ProxiedConnection) -> bool:
+        if not connection.hosts.isdisjoint(self._faults.hosts):
+            return True
         domain = self._faults.failure_domain
         return domain in connection.domains and len(connection.domains) > 1
 
@@ -198,8 +207,11 @@
 class _ProxiedConnection:
     """A proxied connection that delays data and keeps its order."""
 
-    def __init__(self, network: StandInNetwork, domains: set[str]) -> None:
+    def __init__(
+        self, network: StandInNetwork, domains: set[str], hosts: set[str]
+    ) -> None:
         self.network = network
+        self.hosts = hosts
         self.domains = domains - {''}
         self.blackholed = False
         self.outbound: asyncio.Transport | None = None
