Lose all watchers of the store around a change in the soak

What callers saw: added routes not served, after all nodes that watch the store had vanished at one moment. The soak did not find it: its series hit one node after the other, and in a fleet of six hosts every node is a delegate, so no other one could be late.

Each run now ends with one loss for each 30 s of faults: all nodes that are registered in the store or watch it, or half of all nodes, are paused, killed or stopped at one moment, from 0.3 s after to 2.5 s before a change. Callers ask the other nodes for the added route 2 s after the acknowledgement. The losses are drawn apart from the events. The fleet has nine hosts instead of six, so a seed has other events than before.

--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import pathlib
+import random
 import signal
 import time
 import typing
@@ -11,6 +13,8 @@
 import aiohttp
 import grpclib
 
+from bench import duties
+from bench import loss_plans
 from bench.soak import checks
 from bench.soak import schedule
 from bench.standins import network
@@ -35,6 +39,9 @@
 STABLE_S = 3.0
 CONFIG_APPLY_S = 2.0
 
+# Time between the return of lost nodes and the next loss.
+LOSS_GAP_S = 6.0
+
 _UPSTREAM_FAULTS: dict[schedule.Kind, dict[str, typing.Any]] = {
     schedule.Kind.SLOW_UPSTREAM: {'slow_factor': SLOW_FACTOR},
     schedule.Kind.FAILING_UPSTREAM: {'fail_fast': True},
@@ -84,6 +91,9 @@
     async def on_node_restarted(self, host: fleet_module.Host) -> None:
         """Tell a restarted node what it does not find by itself."""
 
+    def log_path(self, host: fleet_module.Host) -> pathlib.Path:
+        """Return the path of a node's log."""
+
     def process_id(self, host: fleet_module.Host) -> int:
         """Return the process id of a node."""
 
@@ -188,9 +198,64 @@
         await asyncio.sleep(STABLE_S)
         await self._fleet.change_configuration(self._fleet.hosts[0], 'after')
         await asyncio.sleep(CONFIG_APPLY_S)
-        for host in self._fleet.hosts:
-            if await self._fleet.has_newest_configuration(host) is False:
-                self._history.behind.append(host.node_id)
+        await self._check_newest(self._fleet.hosts, 'an outage')
+
+    async def change_around_losses(
+        self, losses: typing.Sequence[schedule.Loss], generator: random.Random
+    ) -> None:
+        """Lose nodes at one moment around a change, and check the others."""
+        for loss in losses:
+            await self._change_around_loss(loss, generator)
+            await asyncio.sleep(LOSS_GAP_S if loss is not losses[-1] else 0.0)
+
+    async def _change_around_loss(
+        self, loss: schedule.Loss, generator: random.Random
+    ) -> None:
+        layout = duties.layout(self._fleet.hosts, self._fleet.log_path)
+        choose = loss_plans.SETS[loss.set_name]
+        plan = list(choose(layout, loss.means, generator))
+        node_ids = loss_plans.untouched(layout, plan)
+        others = [
+            host for host in self._fleet.hosts if host.node_id in node_ids
+        ]
+        lost = [host for host in self._fleet.hosts if host not in others]
+        if not others:
+            return
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._change_and_check(loss, others))
+            await asyncio.sleep(max(0.0, -loss.change_s))
+            for host in lost:
+                self._fleet.signal_node(host, loss_plans.SIGNALS[loss.means])
+        for host in lost:
+            await self._return(host, loss.means)
+
+    async def _change_and_check(
+        self, loss: schedule.Loss, others: typing.Sequence[fleet_module.Host]
+    ) -> None:
+        await asyncio.sleep(max(0.0, loss.change_s))
+        await self._fleet.change_configuration(others[0], str(loss))
+        await asyncio.sleep(CONFIG_APPLY_S)
+        await self._check_newest(others, f'a loss ({loss})')
+
+    async def _check_newest(
+        self, hosts: typing.Sequence[fleet_module.Host], after: str
+    ) -> None:
+        """Record the nodes where a caller does not find the latest change."""
+        found = await asyncio.gather(
+            *(self._fleet.has_newest_configuration(host) for host in hosts)
+        )
+        for host, is_found in zip(hosts, found, strict=True):
+            if is_found is False:
+                self._history.behind.append(f'{host.node_id} after {after}')
+
+    async def _return(
+        self, host: fleet_module.Host, means: loss_plans.Means
+    ) -> None:
+        if means is loss_plans.Means.PAUSED:
+            self._fleet.signal_node(host, signal.SIGCONT)
+            return
+        await self._fleet.restart_node(host)
+        await self._fleet.on_node_restarted(host)
 
     async def _stop_node(
         self, event: schedule.Event, host: fleet_module.Host
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -119,7 +119,7 @@
     failed_changes : int
         Changes of the configuration that were refused or not answered.
     behind : list of str
-        Nodes where callers did not find a change in time after the faults.
+        Nodes where callers did not find a change in time, and after what.
     """
 
     runs: list[Run] = dataclasses.field(default_factory=list)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -6,6 +6,8 @@
 import enum
 import random
 
+from bench import loss_plans
+
 # Mean time between two series of events.
 MEAN_GAP_S = 1.2
 # Greatest time between two events of one series.
@@ -16,6 +18,12 @@
 # Limits that upstreams name, below the rate that each of them gets otherwise.
 MIN_LIMIT_PER_S = 0.2
 MAX_LIMIT_PER_S = 4.0
+# Faults' time for which nodes are lost once at the end.
+FAULTS_PER_LOSS_S = 30.0
+# Time of a change, from the loss on.
+MIN_CHANGE_S = -0.3
+MAX_CHANGE_S = 2.5
+LOST_SETS = ('delegates', 'half')
 
 
 class Kind(enum.Enum):
@@ -77,6 +85,52 @@
     limit_per_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """Nodes that are lost at one moment, around a change.
+
+    Parameters
+    ----------
+    set_name : str
+        Key of `loss_plans.SETS`.
+    means : Means
+        How they are lost.
+    change_s : float
+        Time of the change, from the loss on; negative if it comes first.
+    """
+
+    set_name: str
+    means: loss_plans.Means
+    change_s: float
+
+    def __str__(self) -> str:
+        return (
+            f'{self.set_name} {self.means.value}, '
+            f'change at {self.change_s:.2f} s'
+        )
+
+
+def create_losses(seed: int, duration_s: float) -> tuple[Loss, ...]:
+    """Return the losses that follow the events of a seed.
+
+    They are drawn apart from the events.
+
+    Examples
+    --------
+    >>> len(create_losses(1, 20.0)), len(create_losses(1, 60.0))
+    (1, 2)
+    """
+    generator = random.Random(f'losses {seed}')
+    return tuple(
+        Loss(
+            generator.choice(LOST_SETS),
+            generator.choice(list(loss_plans.SIGNALS)),
+            generator.uniform(MIN_CHANGE_S, MAX_CHANGE_S),
+        )
+        for _ in range(max(1, round(duration_s / FAULTS_PER_LOSS_S)))
+    )
+
+
 def create(seed: int, duration_s: float, host_count: int) -> tuple[Event, ...]:
     """Return the events of a seed in order; series may overlap.
 
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -20,7 +20,7 @@
 from jasminebeam.model import services
 
 FIRST_PORT = 23_000
-PORT_COUNT = 70
+PORT_COUNT = 100
 SITE = sites.Site(
     name='soak',
     region='nordeste-ce',
@@ -28,8 +28,8 @@
     one_way_ms=3.5,
     caller_one_way_ms=8.0,
     services=(
-        sites.SiteService('catalogo', 3, sites.READ_ONLY, 15.0),
-        sites.SiteService('cobranca', 3, (), 25.0),
+        sites.SiteService('catalogo', 5, sites.READ_ONLY, 15.0),
+        sites.SiteService('cobranca', 4, (), 25.0),
     ),
 )
 STREAMS = (
@@ -55,6 +55,8 @@
         Seed of the schedule and of the traffic.
     events : tuple of Event
         The schedule.
+    losses : tuple of Loss
+        Losses of nodes that follow it.
     outcomes : dict
         Number of requests by outcome.
     findings : list of Finding
@@ -63,6 +65,7 @@
 
     seed: int
     events: tuple[schedule.Event, ...]
+    losses: tuple[schedule.Loss, ...]
     outcomes: dict[str, int]
     findings: list[checks.Finding]
 
@@ -107,6 +110,7 @@
         self._events = schedule.create(
             seed, duration_s, len(self._fleet.hosts)
         )
+        self._losses = schedule.create_losses(seed, duration_s)
         self._actions: actions.Actions | None = None
 
     async def run(self) -> Report:
@@ -134,6 +138,9 @@
         recorder = await self._send(self._duration_s, 'soak')
         await events
         await self._actions.change_after_outage()
+        await self._actions.change_around_losses(
+            self._losses, random.Random(self._seed)
+        )
         await asyncio.sleep(RECOVERY_S)
         afterwards = await self._send(RECOVERY_CHECK_S, 'after')
         polling.cancel()
@@ -145,7 +152,11 @@
         )
         findings += checks.check_recovery(afterwards.observations)
         return Report(
-            self._seed, self._events, dict(recorder.outcomes()), findings
+            self._seed,
+            self._events,
+            self._losses,
+            dict(recorder.outcomes()),
+            findings,
         )
 
     async def _send(self, duration_s: float, prefix: str) -> traffic.Recorder:
@@ -200,6 +211,8 @@
 def lines(report: Report) -> typing.Iterator[str]:
     """Yield the lines of a report."""
     yield f'seed {report.seed}: {len(report.events)} events'
+    for loss in report.losses:
+        yield f'  lost: {loss}'
     yield f'  outcomes {report.outcomes}'
     for finding in report.findings:
         yield f'  VIOLATED {finding.guarantee}: {finding.detail}'
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import dataclasses
+import random
+import signal
 import types
 
 import pytest
 
+from bench import loss_plans
 from bench.soak import actions as soak_actions
 from bench.soak import checks
 from bench.soak import native_fleet
@@ -57,6 +60,18 @@
     assert kinds == set(schedule.Kind)
 
 
+def test_losses_of_all_kinds_come_before_and_after_changes():
+    """Each set is lost by all means, and a seed gives the same losses."""
+    losses = [schedule.create_losses(seed, 20.0) for seed in range(200)]
+    assert losses == [
+        schedule.create_losses(seed, 20.0) for seed in range(200)
+    ]
+    kinds = {(loss.set_name, loss.means) for (loss,) in losses}
+    assert len(kinds) == len(schedule.LOST_SETS) * len(loss_plans.SIGNALS)
+    changes_s = [loss.change_s for (loss,) in losses]
+    assert min(changes_s) < 0 < 2 < max(changes_s)
+
+
 @pytest.mark.parametrize(
     ('guarantee', 'observation', 'run_count'),
     [
@@ -200,3 +215,63 @@
         )
     )
     assert fleet.faults == upstream.Faults()
+
+
+class LosingFleet:
+    """Fleet of two delegates and of one other node, which stays behind."""
+
+    def __init__(self, directory):
+        self.hosts = [
+            types.SimpleNamespace(
+                index=index,
+                node_id=f'n{index}',
+                upstream_port=PORT + index,
+                failure_domain='a',
+            )
+            for index in range(3)
+        ]
+        self.calls = []
+        self._directory = directory
+        for host in self.hosts:
+            event = 506 if host.node_id == 'n2' else 502
+            self.log_path(host).write_text(f'{{"event": {event}}}\n')
+
+    def log_path(self, host):
+        """Return the path of a node's log."""
+        return self._directory / f'{host.node_id}.log'
+
+    def signal_node(self, host, signal_number):
+        """Record a signal."""
+        self.calls.append((host.node_id, signal_number))
+
+    async def change_configuration(self, host, name):
+        """Record a change."""
+        self.calls.append((host.node_id, 'change'))
+
+    async def has_newest_configuration(self, host):
+        """Record a request for the added route."""
+        self.calls.append((host.node_id, 'request'))
+        return False
+
+
+@pytest.mark.parametrize('change_s', [-0.01, 0.01])
+async def test_node_behind_after_all_delegates_are_lost(
+    tmp_path, monkeypatch, change_s
+):
+    """The others are asked while the delegates are still lost."""
+    monkeypatch.setattr(soak_actions, 'CONFIG_APPLY_S', 0.05)
+    fleet = LosingFleet(tmp_path)
+    history = checks.History()
+    actions = soak_actions.Actions(fleet, history, 0.0)
+    loss = schedule.Loss('delegates', loss_plans.Means.PAUSED, change_s)
+    await actions.change_around_losses([loss], random.Random(1))
+    losses = [('n0', signal.SIGSTOP), ('n1', signal.SIGSTOP)]
+    change = [('n2', 'change')]
+    begin = change + losses if change_s < 0 else losses + change
+    assert fleet.calls == [
+        *begin,
+        ('n2', 'request'),
+        ('n0', signal.SIGCONT),
+        ('n1', signal.SIGCONT),
+    ]
+    assert _guarantees([], history) == {'configuration'}
