Let the soak survive a node that is killed during a change

A node was killed while an operator changed the configuration at it. The gRPC client reports the lost connection with an exception that is neither a GRPCError nor an OSError, so the soak did not count it as a failed change.

The native fleet now raises ConnectionResetError instead, which the soak counts like any other change without an answer. The new test failed before with StreamTerminatedError. No check is changed: whether a lost change took effect does not matter to the order of revisions.

--- a/bench/soak/native_fleet.py
+++ b/bench/soak/native_fleet.py
@@ -8,6 +8,7 @@
 
 import grpclib
 from grpclib import client as grpc_client
+from grpclib import exceptions
 
 from bench import fleet
 from bench import traffic
@@ -81,6 +82,8 @@
         try:
             async with asyncio.timeout(OPERATOR_TIMEOUT_S):
                 yield operators_grpc.OperatorsStub(channel)
+        except exceptions.StreamTerminatedError as error:
+            raise ConnectionResetError(*error.args) from error
         finally:
             channel.close()
 
--- a/tests/test_bench/test_soak.py
+++ b/tests/test_bench/test_soak.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from bench import fleet
 from bench import loss_plans
 from bench.soak import actions as soak_actions
 from bench.soak import checks
@@ -203,8 +204,8 @@
 
 async def test_fault_stayed_when_two_of_one_upstream_ended_at_once():
     """The command that ends the last fault must arrive last."""
-    fleet = SlowFleet()
-    actions = soak_actions.Actions(fleet, checks.History(), 0.0)
+    slow_fleet = SlowFleet()
+    actions = soak_actions.Actions(slow_fleet, checks.History(), 0.0)
     await asyncio.gather(
         *(
             actions.apply(schedule.Event(0.0, kind, 0, 0.05, 1.0))
@@ -214,7 +215,7 @@
             )
         )
     )
-    assert fleet.faults == upstream.Faults()
+    assert slow_fleet.faults == upstream.Faults()
 
 
 class LosingFleet:
@@ -260,18 +261,35 @@
 ):
     """The others are asked while the delegates are still lost."""
     monkeypatch.setattr(soak_actions, 'CONFIG_APPLY_S', 0.05)
-    fleet = LosingFleet(tmp_path)
+    losing_fleet = LosingFleet(tmp_path)
     history = checks.History()
-    actions = soak_actions.Actions(fleet, history, 0.0)
+    actions = soak_actions.Actions(losing_fleet, history, 0.0)
     loss = schedule.Loss('delegates', loss_plans.Means.PAUSED, change_s)
     await actions.change_around_losses([loss], random.Random(1))
     losses = [('n0', signal.SIGSTOP), ('n1', signal.SIGSTOP)]
     change = [('n2', 'change')]
     begin = change + losses if change_s < 0 else losses + change
-    assert fleet.calls == [
+    assert losing_fleet.calls == [
         *begin,
         ('n2', 'request'),
         ('n0', signal.SIGCONT),
         ('n1', signal.SIGCONT),
     ]
     assert _guarantees([], history) == {'configuration'}
+
+
+async def test_soak_ended_when_a_node_was_killed_during_a_change(tmp_path):
+    """A change whose connection is lost has failed, like a refused one."""
+
+    async def close(reader, writer):
+        await reader.read(1)
+        writer.close()
+
+    port = ports.free_port()
+    host = types.SimpleNamespace(address='127.0.0.1', operator_port=port)
+    options = fleet.Options(first_port=port, directory=tmp_path)
+    native = native_fleet.NativeFleet(soak.SITE, options)
+    async with await asyncio.start_server(close, host.address, port):
+        with pytest.raises(OSError, match='Connection lost'):
+            await native.change_configuration(host, 'change')
+        assert await native.revision(host) is None
