--- a/tests/test_platform/test_program.py
+++ b/tests/test_platform/test_program.py
@@ -27,8 +27,12 @@
     await created.close()
 
 
-async def _start(path):
-    environment = {**os.environ, program.SETTINGS_VARIABLE: str(path)}
+async def _start(path, **variables):
+    environment = {
+        **os.environ,
+        **variables,
+        program.SETTINGS_VARIABLE: str(path),
+    }
     return await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
@@ -71,6 +75,48 @@
             await process.wait()
 
 
+async def _expect_start_and_stop(process):
+    try:
+        await _wait_for(process, STARTED)
+        process.send_signal(signal.SIGTERM)
+        await _wait_for(process, STOPPED)
+        assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def test_sighup_during_the_imports_ended_the_process(cluster, tmp_path):
+    """The signal concerns settings that the process has not read yet."""
+    path = tmp_path / 'node.ini'
+    path.write_text(cluster.settings_text('n0'))
+    process = await _start(path, PYTHONPROFILEIMPORTTIME='1')
+    while line := await process.stderr.readline():
+        if line.endswith(b' jasminebeam.telemetry.metrics\n'):
+            break
+    assert line
+    process.send_signal(signal.SIGHUP)
+    reading = asyncio.create_task(process.stderr.read())
+    await _expect_start_and_stop(process)
+    await reading
+
+
+async def test_sighup_before_the_handlers_ended_the_process(cluster, tmp_path):
+    """The process reads its settings from a pipe when the signal arrives."""
+    path = tmp_path / 'node.ini'
+    os.mkfifo(path)
+    process = await _start(path)
+    # This waits until the process opens the pipe for reading.
+    with await asyncio.to_thread(path.open, 'w') as pipe:
+        process.send_signal(signal.SIGHUP)
+        regular = tmp_path / 'regular.ini'
+        regular.write_text(cluster.settings_text('n0'))
+        regular.replace(path)
+        pipe.write(path.read_text())
+    await _expect_start_and_stop(process)
+
+
 async def test_program_rejects_invalid_settings(tmp_path):
     """The error message names the missing section."""
     path = tmp_path / 'node.ini'
