Forward request targets unchanged

Cause: the client of the upstream passes the target to the HTTP library as part of a URL. The library splits it and puts it together from its parts, and an empty query has no part. Ruled out: the caller's side and the inner protocol, which carry the target as it was received.

Change: the target is given to the library as one part. Stand-ins record the targets that they receive.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -52,6 +52,8 @@
         # Requests that end only after their event is set, by identifier.
         self.held: dict[str, asyncio.Event] = {}
         self.started: list[str] = []
+        # Request targets, as received.
+        self.targets: list[str] = []
         self.cancelled: list[str] = []
         # Target and body of each request, by identifier; None to keep none.
         self.received: dict[str, tuple[str, bytes]] | None = None
@@ -164,6 +166,7 @@
         self.time_left_ms.append(int(request.headers['Deadline-Ms']))
         self._running += 1
         self.started.append(request_id)
+        self.targets.append(request.raw_path)
         try:
             await asyncio.sleep(self.service_time_s)
             if request_id in self.held:
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -250,13 +250,26 @@
         """Close the connections."""
         await self._session.close()
 
+    def _url(self, target: str) -> yarl.URL:
+        """Return the URL of a request target, which is sent unchanged.
+
+        Parsed into its parts, an empty query or a fragment would be lost.
+        """
+        return yarl.URL.build(
+            scheme='http',
+            host=self.announcement.host,
+            port=self.announcement.port,
+            path=target,
+            encoded=True,
+        )
+
     async def _exchange(
         self, call: requests.Call, timeout_ms: float
     ) -> verdict.Verdict:
         _current_request_id.set(call.request_id)
         async with self._session.request(
             call.method,
-            yarl.URL(self._base_url + call.target, encoded=True),
+            self._url(call.target),
             headers=self._dialect.request_headers(
                 call, timeout_ms, self.announcement
             ),
--- a/tests/test_platform/test_raw_callers.py
+++ b/tests/test_platform/test_raw_callers.py
@@ -124,3 +124,16 @@
     status, _, _ = await cluster.send_request(request_id='proper')
     assert status == 200
     assert cluster.upstreams[0].runs == {'proper': 1}
+
+
+@pytest.mark.parametrize('target', ['/fee/1', '/fee/1?', '/fee/1?a=%2F+b&a'])
+async def test_query_was_changed_on_its_way(cluster, target):
+    """Path and query reach the upstream as the caller has sent them."""
+    received = await _send_and_receive(
+        cluster,
+        f'POST {target} HTTP/1.1\r\n'.encode()
+        + HEAD
+        + b'Connection: close\r\nContent-Length: 1\r\n\r\nx',
+    )
+    assert received.startswith(b'HTTP/1.1 200')
+    assert cluster.upstreams[0].targets == [target]
--- a/tests/test_upstreams/test_client.py
+++ b/tests/test_upstreams/test_client.py
@@ -88,8 +88,8 @@
     await created.close()
 
 
-def _call(method='GET'):
-    return requests.Call('id', 's', method, '/x?y=1', (), b'', False, 0.0)
+def _call(method='GET', target='/x?y=1'):
+    return requests.Call('id', 's', method, target, (), b'', False, 0.0)
 
 
 @pytest.mark.parametrize('method', ['GET', 'HEAD', 'PUT', 'DELETE', 'POST'])
@@ -153,6 +153,13 @@
     assert 'X-Request-Id: id' in head
 
 
+@pytest.mark.parametrize('target', ['/x?', '/x?#', '/x#y', '//x?', '/x??'])
+async def test_empty_query_or_fragment_was_lost(upstream, tested, target):
+    """The upstream must receive the target as the caller has sent it."""
+    await tested.run(_call(target=target), 5_000.0)
+    assert upstream.request_heads[0].split(b' ')[1].decode() == target
+
+
 async def test_unframed_answer_that_is_reset_is_not_complete(upstream, tested):
     """Without a length, only a clean close may prove completeness."""
     upstream.answer = b'HTTP/1.1 200 OK\r\n\r\nhalf'
