Refuse heartbeats with a field missing or of another type

A heartbeat without `born` and with another identity replaced the upstream in service, and one with its identity could drain it or outrun its sequence. The users' page says that such a heartbeat comes from another writer and names no target to use.

Cause: the start had a default of 0 (unknown), and an unknown start counts as a later one if the identity differs. `coldRemainingMs` had a default as well, and `zone` and `version` were not read.

Ruled out: that the targets of the users omit a field, although the page's example has no `born`.

Change: all fields of the page are required, `born` as a whole number above 0. Leave notices may still lack it: the platform's example has no body.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -84,7 +84,19 @@
     ) -> int:
         """Send one heartbeat and return the status of the response."""
         self._sequence += 1
-        document = {
+        document = self.heartbeat(
+            state, born, overrides.get('sequence', self._sequence)
+        )
+        url = f'http://{address}/v1/instances/{self.upstream_id}'
+        async with aiohttp.ClientSession() as session:
+            async with session.put(url, json=document) as response:
+                return response.status
+
+    def heartbeat(
+        self, state: str, born: int, sequence: int
+    ) -> dict[str, typing.Any]:
+        """Return the body of a heartbeat."""
+        return {
             'address': f'127.0.0.1:{self.port}',
             'info': {
                 'service': self.service,
@@ -94,15 +106,11 @@
             },
             'status': {
                 'state': state,
-                'sequence': overrides.get('sequence', self._sequence),
+                'sequence': sequence,
                 'coldRemainingMs': 0,
             },
             'born': born,
         }
-        url = f'http://{address}/v1/instances/{self.upstream_id}'
-        async with aiohttp.ClientSession() as session:
-            async with session.put(url, json=document) as response:
-                return response.status
 
     async def send_leave_notice(self, address: str) -> int:
         """Deregister the upstream and return the status of the response."""
--- a/jasminebeam/inputs.py
+++ b/jasminebeam/inputs.py
@@ -25,6 +25,8 @@
 DurationMs = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 # Milliseconds since the epoch; 0 if unknown.
 WallMs = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_MS)]
+# Start of an upstream that is known.
+StartMs = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_WALL_MS)]
 SequenceNumber = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
 # Name that may be sent in a header.
 Name = typing.Annotated[
--- a/jasminebeam/platform/servers.py
+++ b/jasminebeam/platform/servers.py
@@ -22,6 +22,8 @@
 
 class _Info(msgspec.Struct, frozen=True):
     service: inputs.Name
+    version: str
+    zone: str
     slots: inputs.PositiveCount
 
 
@@ -29,15 +31,15 @@
     state: str
     sequence: inputs.SequenceNumber
     # Time until the upstream reaches full speed.
-    cold_remaining_ms: inputs.DurationMs = 0
+    cold_remaining_ms: inputs.DurationMs
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
     address: str
     info: _Info
     status: _Status
-    # Start time of the upstream in ms since the epoch; 0 if not sent.
-    born: inputs.WallMs = 0
+    # Start time of the upstream in ms since the epoch.
+    born: inputs.StartMs
 
 
 class _LeaveNotice(msgspec.Struct, frozen=True):
--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -176,6 +176,44 @@
     assert (await cluster.send_request())[0] == 200
 
 
+@pytest.mark.parametrize(
+    ('section', 'name', 'value'),
+    [
+        ('', 'born', None),
+        ('', 'born', 0),
+        ('', 'born', '7'),
+        ('', 'born', 7.5),
+        ('', 'born', True),
+        ('info', 'zone', None),
+        ('info', 'version', None),
+        ('info', 'version', 7),
+        ('status', 'coldRemainingMs', None),
+        ('status', 'sequence', None),
+    ],
+)
+async def test_heartbeat_of_another_writer_replaced_the_upstream(
+    cluster, section, name, value
+):
+    """A heartbeat with a field missing or of another type names nobody.
+
+    Without a start it seemed to be one of a later upstream.
+    """
+    created = await cluster.add_host()
+    before = created.sidecar.announcement
+    document = cluster.upstreams[0].heartbeat('ready', 2, 9)
+    fields = document[section] if section else document
+    fields[name] = value
+    if value is None:
+        del fields[name]
+    address = cluster.settings[0].adapter.announcements
+    async with cluster.session.put(
+        f'http://{address}/v1/instances/i-other', json=document
+    ) as response:
+        assert response.status == 400
+    assert created.sidecar.announcement == before
+    assert (await cluster.send_request())[0] == 200
+
+
 async def test_rejected_configuration_keeps_the_previous_one_in_force(cluster):
     """Malformed, invalid and older configurations are not applied."""
     created = await cluster.add_host()
