Say why a caller that closes its writing side gets no answer

It stays so: the end of the caller's data cannot be told from a close of the connection before something is written, and rule GONE asks that work stops for a caller that has left.

test_caller_that_closes_its_writing_side_counts_as_gone holds the behaviour; it passed before, since nothing of the program changed.

--- a/tests/test_platform/test_raw_callers.py
+++ b/tests/test_platform/test_raw_callers.py
@@ -137,3 +137,26 @@
     )
     assert received.startswith(b'HTTP/1.1 200')
     assert cluster.upstreams[0].targets == [target]
+
+
+async def test_caller_that_closes_its_writing_side_counts_as_gone(cluster):
+    """The end of its data cannot be told from the close of the connection.
+
+    The run of an idempotent request must stop.
+    """
+    await cluster.store.put(
+        'op/config', platform_cluster.configuration(2, kind='safe')
+    )
+    await cluster.wait_until(lambda: cluster.nodes[0].route_sets.revision == 2)
+    upstream = cluster.upstreams[0]
+    upstream.held['one'] = asyncio.Event()
+    address = inputs.parse_address(cluster.settings[0].adapter.callers)
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(
+        b'POST /fee/1 HTTP/1.1\r\n' + HEAD + b'Content-Length: 1\r\n\r\nx'
+    )
+    await cluster.wait_until(lambda: upstream.started)
+    writer.write_eof()
+    assert not await reader.read()
+    await cluster.wait_until(lambda: upstream.cancelled == ['one'])
+    writer.close()
