--- a/jasminebeam/operators/host_states.py
+++ b/jasminebeam/operators/host_states.py
@@ -10,6 +10,8 @@
 import aiohttp
 from prometheus_client import parser
 
+from jasminebeam import http_client
+
 READ_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 1_000_000
 
@@ -39,21 +41,20 @@
 
 async def read_all(addresses: typing.Iterable[str]) -> list[HostState]:
     """Return the states of the hosts at these metrics addresses."""
-    timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    session = http_client.create_session(
+        http_client.Connector(MAX_ANSWER_BYTES),
+        aiohttp.ClientTimeout(total=READ_TIMEOUT_S),
+    )
+    async with session:
         return await asyncio.gather(
             *(_read(session, address) for address in addresses)
         )
 
 
 async def _read(session: aiohttp.ClientSession, address: str) -> HostState:
-    content = bytearray()
     try:
         async with session.get(f'http://{address}/metrics') as response:
-            async for chunk in response.content.iter_any():
-                content += chunk
-                if len(content) > MAX_ANSWER_BYTES:
-                    return HostState(address)
+            content = await http_client.read_body(response, MAX_ANSWER_BYTES)
         return parse(address, content.decode())
     except (aiohttp.ClientError, TimeoutError, ValueError):
         return HostState(address)
