Bound the work of one response, not only its bytes

Callers of sound services got no answer in time from a node whose own upstream sent interim responses without end, and the node used up to 305 MB.

The limit of about 2.1 MB a response is in bytes. The parser made a message object of each interim response of 25 bytes, over 80,000 within the limit, and parsed all of one socket read (up to 256 KiB) at once. A chunk extension or trailer could use the bytes that are meant for the body.

Up to the head of the final response, data are parsed in parts of 1 KiB and then of 16 KiB, and the limits are checked between them. A response has at most 5 interim responses, 64 KiB until its head is complete, and framing of at most the length of the body received and 64 KiB. Interim responses are counted, not kept. Bodies are collected in one buffer, since small chunks took several times their length in a list.

Ruled out: header lines and single headers, which the parser ends by itself.

--- a/jasminebeam/http_client.py
+++ b/jasminebeam/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import functools
 import socket
 import ssl
@@ -10,14 +11,26 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http_parser
+from aiohttp import streams
 
 if typing.TYPE_CHECKING:
     SocketOption = tuple[int, int, int]
 
 # Bytes of a response besides its body: status lines, headers, interim
-# responses, chunk framing and trailers.
+# responses, chunk framing and trailers. Chunk framing may be as long as the
+# body in addition.
 FRAMING_BYTES = 64 * 1024
 
+# Interim (1xx) responses before a final one.
+MAX_INTERIM_RESPONSES = 5
+
+# Bytes that are parsed between two checks of the limits, before and after the
+# head of the final response. The parser creates an object for each interim
+# response and each chunk, so these bound its work beyond a limit.
+HEAD_PART_BYTES = 1024
+BODY_PART_BYTES = 16 * 1024
+
 # Socket options that detect within about 3 s that a connection is dead.
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
@@ -32,12 +45,35 @@
 )
 
 
+class EndReason(enum.StrEnum):
+    """Why a connection was closed before its response was complete."""
+
+    INTERIM = 'interim_responses'
+    HEAD = 'head'
+    FRAMING = 'framing'
+    BODY = 'body'
+    MALFORMED = 'malformed'
+
+
 class ResponseTooLargeError(aiohttp.ClientError):
-    """The server sent more bytes than one response may have."""
+    """The server exceeded a limit of one response.
+
+    Parameters
+    ----------
+    reason : EndReason
+        The limit.
+    received_bytes : int
+        Bytes of the response that were received.
+    """
+
+    def __init__(self, reason: EndReason, received_bytes: int) -> None:
+        super().__init__(f'{reason} after {received_bytes} bytes')
+        self.reason = reason
+        self.received_bytes = received_bytes
 
 
 class LimitedProtocol(client_proto.ResponseHandler):
-    """Ends a connection that receives too many bytes for one response.
+    """Ends a connection whose response exceeds a limit.
 
     All received bytes count: interim responses and chunk extensions can go
     on without end while neither a header nor a body is ever complete.
@@ -45,23 +81,77 @@
 
     limit_bytes = FRAMING_BYTES
     _received_bytes = 0
+    _interim_responses = 0
+    _has_ended = False
+    # Body of the final response; None before its head is complete.
+    _final_body: streams.StreamReader | None = None
 
     def start_exchange(self) -> None:
         """Count the bytes of the next response from zero."""
         self._received_bytes = 0
+        self._interim_responses = 0
+        self._final_body = None
 
     def data_received(self, data: bytes) -> None:
-        """Parse data; close the connection beyond the limit."""
+        """Parse data; close the connection beyond a limit."""
+        if self._has_ended:
+            return
         self._received_bytes += len(data)
-        if self._received_bytes <= self.limit_bytes:
-            super().data_received(data)
+        if self._received_bytes > self.limit_bytes:
+            self._end(EndReason.BODY)
             return
-        error = ResponseTooLargeError(
-            f'more than {self.limit_bytes} bytes for one response'
-        )
+        parsed_bytes = 0
+        while not self._has_ended:
+            part_bytes = BODY_PART_BYTES
+            if self._final_body is None:
+                part_bytes = HEAD_PART_BYTES
+            part = data[parsed_bytes : parsed_bytes + part_bytes]
+            super().data_received(part)
+            parsed_bytes += len(part)
+            unparsed_bytes = len(data) - parsed_bytes
+            reason = self._exceeded(self._received_bytes - unparsed_bytes)
+            if reason is not None:
+                self._end(reason)
+            if not unparsed_bytes or self._is_unusable():
+                return
+
+    def feed_data(
+        self,
+        data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Queue a final response; only count an interim one."""
+        message, body = data
+        if 100 <= message.code < 200 and message.code != 101:
+            self._interim_responses += 1
+            return
+        if self._final_body is None:
+            self._final_body = body
+        super().feed_data(data, size)
+
+    def _is_unusable(self) -> bool:
+        return self.transport is None or self._exception is not None
+
+    def _exceeded(self, parsed_bytes: int) -> EndReason | None:
+        """Return the limit that the response exceeds, or None."""
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            return EndReason.INTERIM
+        body = self._final_body
+        if body is None:
+            return EndReason.HEAD if parsed_bytes > FRAMING_BYTES else None
+        # A parser that waits for the reader of the body has parsed less.
+        if self._reading_paused:
+            return None
+        framing_bytes = parsed_bytes - 2 * body.total_bytes
+        return EndReason.FRAMING if framing_bytes > FRAMING_BYTES else None
+
+    def _end(self, reason: EndReason) -> None:
+        """Abort the connection and fail its response."""
+        self._has_ended = True
+        error = ResponseTooLargeError(reason, self._received_bytes)
         payload, transport = self._payload, self.transport
         self.set_exception(error)
-        if payload is not None:
+        if payload is not None and not payload.is_eof():
             payload.set_exception(error)
         if transport is not None:
             transport.abort()
@@ -182,12 +272,10 @@
     """
     length = response.content_length
     if length is not None and length > limit_bytes:
-        raise ResponseTooLargeError(f'body of {length} bytes')
-    chunks = []
-    size_bytes = 0
+        raise ResponseTooLargeError(EndReason.BODY, 0)
+    body = bytearray()
     async for chunk in response.content.iter_any():
-        size_bytes += len(chunk)
-        if size_bytes > limit_bytes:
-            raise ResponseTooLargeError(f'body over {limit_bytes} bytes')
-        chunks.append(chunk)
-    return b''.join(chunks)
+        body += chunk
+        if len(body) > limit_bytes:
+            raise ResponseTooLargeError(EndReason.BODY, len(body))
+    return bytes(body)
