Report connections to upstreams that are closed for what they received

Operators could not tell an upstream that sends bytes without end from one that closes its connections: both were "upstream disconnected" or "answer too large" of single requests, and bytes on a kept connection that no request used left no trace.

Each such connection is closed once, with one line (event 211) and a count by reason in jasminebeam_unusable_responses_total. A connection that receives bytes after a complete response is closed at once; the complete response holds. Before, such bytes were parsed as further responses, up to the limit of one response (about 2.1 MB).

Not covered: if what follows an answer is malformed and arrives within the same 1 KiB as the end of its head, the answer is still lost (may have run).

--- a/jasminebeam/http_client.py
+++ b/jasminebeam/http_client.py
@@ -46,13 +46,19 @@
 
 
 class EndReason(enum.StrEnum):
-    """Why a connection was closed before its response was complete."""
+    """Why a connection was closed by its client."""
 
     INTERIM = 'interim_responses'
     HEAD = 'head'
     FRAMING = 'framing'
     BODY = 'body'
     MALFORMED = 'malformed'
+    # Bytes on a connection on which no request waits.
+    UNSOLICITED = 'unsolicited'
+
+
+def ignore_unsolicited(received_bytes: int) -> None:
+    """Ignore that a connection was closed while no request waited."""
 
 
 class ResponseTooLargeError(aiohttp.ClientError):
@@ -77,18 +83,33 @@
 
     All received bytes count: interim responses and chunk extensions can go
     on without end while neither a header nor a body is ever complete.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        Event loop of the connection.
+    on_unsolicited : callable
+        Receives the number of bytes after a complete response, once.
     """
 
     limit_bytes = FRAMING_BYTES
-    _received_bytes = 0
+    received_bytes = 0
     _interim_responses = 0
     _has_ended = False
     # Body of the final response; None before its head is complete.
     _final_body: streams.StreamReader | None = None
 
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_unsolicited: typing.Callable[[int], None] = ignore_unsolicited,
+    ) -> None:
+        super().__init__(loop)
+        self._on_unsolicited = on_unsolicited
+
     def start_exchange(self) -> None:
         """Count the bytes of the next response from zero."""
-        self._received_bytes = 0
+        self.received_bytes = 0
         self._interim_responses = 0
         self._final_body = None
 
@@ -96,10 +117,10 @@
         """Parse data; close the connection beyond a limit."""
         if self._has_ended:
             return
-        self._received_bytes += len(data)
-        if self._received_bytes > self.limit_bytes:
-            self._end(EndReason.BODY)
+        if data and self._is_complete():
+            self._end_unsolicited(len(data))
             return
+        self.received_bytes += len(data)
         parsed_bytes = 0
         while not self._has_ended:
             part_bytes = BODY_PART_BYTES
@@ -109,11 +130,13 @@
             super().data_received(part)
             parsed_bytes += len(part)
             unparsed_bytes = len(data) - parsed_bytes
-            reason = self._exceeded(self._received_bytes - unparsed_bytes)
+            reason = self._exceeded(self.received_bytes - unparsed_bytes)
             if reason is not None:
                 self._end(reason)
             if not unparsed_bytes or self._is_unusable():
                 return
+            if self._is_complete():
+                self._end_unsolicited(unparsed_bytes)
 
     def feed_data(
         self,
@@ -129,6 +152,9 @@
             self._final_body = body
         super().feed_data(data, size)
 
+    def _is_complete(self) -> bool:
+        return self._final_body is not None and self._final_body.is_eof()
+
     def _is_unusable(self) -> bool:
         return self.transport is None or self._exception is not None
 
@@ -139,16 +165,26 @@
         body = self._final_body
         if body is None:
             return EndReason.HEAD if parsed_bytes > FRAMING_BYTES else None
+        if parsed_bytes > self.limit_bytes:
+            return EndReason.BODY
         # A parser that waits for the reader of the body has parsed less.
         if self._reading_paused:
             return None
         framing_bytes = parsed_bytes - 2 * body.total_bytes
         return EndReason.FRAMING if framing_bytes > FRAMING_BYTES else None
 
+    def _end_unsolicited(self, unsolicited_bytes: int) -> None:
+        """Abort the connection after its response; the response holds."""
+        self._has_ended = True
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+        self._on_unsolicited(unsolicited_bytes)
+
     def _end(self, reason: EndReason) -> None:
         """Abort the connection and fail its response."""
         self._has_ended = True
-        error = ResponseTooLargeError(reason, self._received_bytes)
+        error = ResponseTooLargeError(reason, self.received_bytes)
         payload, transport = self._payload, self.transport
         self.set_exception(error)
         if payload is not None and not payload.is_eof():
@@ -168,6 +204,9 @@
         Class of the connections' protocols.
     socket_options : sequence of tuple
         Level, name and value of options to set on each new socket.
+    on_unsolicited : callable
+        Receives the number of bytes for which a connection was closed while
+        no request waited on it.
     options
         As for the base class.
 
@@ -184,11 +223,14 @@
         max_body_bytes: int,
         protocol: type[LimitedProtocol] = LimitedProtocol,
         socket_options: typing.Sequence[SocketOption] = (),
+        on_unsolicited: typing.Callable[[int], None] = ignore_unsolicited,
         **options: typing.Any,
     ) -> None:
         super().__init__(**options)
         self._limit_bytes = 2 * max_body_bytes + FRAMING_BYTES
-        self._factory = functools.partial(protocol, loop=self._loop)
+        self._factory = functools.partial(
+            protocol, loop=self._loop, on_unsolicited=on_unsolicited
+        )
         self._socket_options = socket_options
 
     async def connect(
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -392,6 +392,7 @@
             self._adapter.upstream_dialect,
             on_report,
             on_notice,
+            self.sidecar,
         )
 
     def _record_reachability(self, reachable: bool) -> None:
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -287,6 +287,27 @@
                 # Requests that wait for the limit may start earlier now.
                 self._poll_wanted.set()
 
+    def on_sound(
+        self, announcement: upstreams.Announcement, to_check: bool
+    ) -> None:
+        """Record a complete response of the upstream."""
+
+    def on_unusable(
+        self,
+        announcement: upstreams.Announcement,
+        response: client.UnusableResponse,
+    ) -> None:
+        """Record that a connection was closed for what it received."""
+        reason = response.reason.value
+        self._counters.unusable_responses.labels(reason).inc()
+        self._log.write(
+            events.Event.RESPONSE_UNUSABLE,
+            upstream=announcement.upstream_id,
+            reason=reason,
+            received_bytes=response.received_bytes,
+            health_check=response.to_check,
+        )
+
     def adopt_pending_notice(self) -> None:
         """Apply what ingress nodes have told about the attached upstream.
 
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -62,6 +62,11 @@
     LOAD_MALFORMED = EventKind(
         210, logbook.WARNING, 'malformed load report ignored'
     )
+    RESPONSE_UNUSABLE = EventKind(
+        211,
+        logbook.WARNING,
+        'connection to the upstream closed: unusable response',
+    )
     LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -64,6 +64,11 @@
         self.ejections = self._counter(
             'ejections', 'Upstreams ejected from selection.', 'service'
         )
+        self.unusable_responses = self._counter(
+            'unusable_responses',
+            'Connections to upstreams closed for what they sent, by reason.',
+            'reason',
+        )
         self.latency = self._histogram(
             'request_seconds', 'Time to answer a caller.', 'service'
         )
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -64,6 +64,57 @@
     """Ignore a notice; the caller only wants answers."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnusableResponse:
+    """Bytes of the upstream that are no response, or exceed its limits.
+
+    Parameters
+    ----------
+    reason : EndReason
+        Why the connection was closed.
+    received_bytes : int
+        Bytes received since the last request on the connection.
+    to_check : bool
+        True if the request was a health check.
+    """
+
+    reason: http_client.EndReason
+    received_bytes: int
+    to_check: bool = False
+
+
+class ResponseObserver(typing.Protocol):
+    """Receives whether the upstream's responses can be used."""
+
+    def on_sound(
+        self, announcement: upstreams.Announcement, to_check: bool
+    ) -> None:
+        """Record a complete response."""
+
+    def on_unusable(
+        self,
+        announcement: upstreams.Announcement,
+        response: UnusableResponse,
+    ) -> None:
+        """Record that a connection was closed for what it received."""
+
+
+class IgnoringObserver:
+    """Ignores the responses; the caller only wants answers."""
+
+    def on_sound(
+        self, announcement: upstreams.Announcement, to_check: bool
+    ) -> None:
+        """Ignore a complete response."""
+
+    def on_unusable(
+        self,
+        announcement: upstreams.Announcement,
+        response: UnusableResponse,
+    ) -> None:
+        """Ignore that a connection was closed."""
+
+
 class UpstreamClient(typing.Protocol):
     """Runs one request at the upstream."""
 
@@ -163,6 +214,8 @@
     on_notice : callable
         Receives the announcement of the upstream, the kind of answer and
         what the upstream states about itself in it.
+    observer : ResponseObserver
+        Receives whether the responses can be used.
     """
 
     def __init__(
@@ -172,12 +225,14 @@
         dialect: dialect_module.UpstreamDialect,
         on_report: typing.Callable[[upstreams.LoadReport], None],
         on_notice: OnNotice = ignore_notice,
+        observer: ResponseObserver | None = None,
     ) -> None:
         self.announcement = announcement
         self._max_answer_bytes = max_answer_bytes
         self._dialect = dialect
         self._on_report = on_report
         self._on_notice = on_notice
+        self._observer = observer or IgnoringObserver()
         self._base_url = f'http://{announcement.host}:{announcement.port}'
         self._connector = UpstreamConnector(
             max_answer_bytes,
@@ -185,6 +240,7 @@
             limit=announcement.connections,
             ttl_dns_cache=None,
             keepalive_timeout=INITIAL_REUSE_S,
+            on_unsolicited=self._on_unsolicited,
         )
         self._session = http_client.create_session(
             self._connector,
@@ -206,8 +262,12 @@
             return verdict.not_run(verdict.Reason.CONNECT_FAILED)
         except TimeoutError:
             return verdict.may_have_run(verdict.Reason.UPSTREAM_TIMEOUT)
-        except http_client.ResponseTooLargeError:
+        except http_client.ResponseTooLargeError as error:
+            self._on_unusable(error.reason, to_check=False)
             return verdict.may_have_run(verdict.Reason.ANSWER_TOO_LARGE)
+        except aiohttp.ClientResponseError:
+            self._on_unusable(http_client.EndReason.MALFORMED, to_check=False)
+            return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
         except (aiohttp.ClientError, ConnectionError):
             return verdict.may_have_run(verdict.Reason.UPSTREAM_DISCONNECTED)
 
@@ -230,6 +290,12 @@
         except aiohttp.ClientConnectorError as error:
             refused = isinstance(error.os_error, ConnectionRefusedError)
             return upstreams.NOT_LISTENING if refused else None
+        except http_client.ResponseTooLargeError as error:
+            self._on_unusable(error.reason, to_check=True)
+            return None
+        except aiohttp.ClientResponseError:
+            self._on_unusable(http_client.EndReason.MALFORMED, to_check=True)
+            return None
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
         health = self._dialect.read_health(
@@ -239,6 +305,7 @@
             # The health check's own answer may still arrive.
             _current_protocol.get().close()
             return None
+        self._observer.on_sound(self.announcement, to_check=True)
         own_id = self.announcement.upstream_id
         if not own_id or health.upstream_id in ('', own_id):
             self._read_statements(
@@ -291,6 +358,7 @@
                 protocol.close()
             elif result.outcome is verdict.Outcome.NOT_RUN:
                 protocol.on_refused(call.request_id)
+            self._observer.on_sound(self.announcement, to_check=False)
             return _with_body(result, body)
 
     def _classify_head(
@@ -330,6 +398,21 @@
             notice = dataclasses.replace(notice, malformed_load=malformed)
         self._on_notice(self.announcement, source, notice)
 
+    def _on_unusable(
+        self, reason: http_client.EndReason, to_check: bool
+    ) -> None:
+        received_bytes = _current_protocol.get().received_bytes
+        self._observer.on_unusable(
+            self.announcement,
+            UnusableResponse(reason, received_bytes, to_check),
+        )
+
+    def _on_unsolicited(self, received_bytes: int) -> None:
+        reason = http_client.EndReason.UNSOLICITED
+        self._observer.on_unusable(
+            self.announcement, UnusableResponse(reason, received_bytes)
+        )
+
     def _update_idle_limit(self, response: aiohttp.ClientResponse) -> None:
         match = _KEEP_ALIVE.search(response.headers.get('Keep-Alive', ''))
         if match is not None:
