Take an upstream whose responses have no end out of service

A node opened the next connection to an upstream that sends bytes without end for each request, for its health check each second, and for the host's slowness up to every 15 ms while requests wait. Each connection cost the limit of one response again, and each caller got "may have run" in turn.

One response that no request explains (interim responses, head or framing beyond the limits), or three unusable ones in a row, suspend the upstream for 1 s. Other nodes see it as absent, waiting requests are refused as not run, and there is no health check. After it, one health check decides: it puts the upstream back, or suspends it for twice the time, up to 8 s. A sound check alone does not reset the time; 16 s in service do. Answers that are on their way are awaited. Events 212 and 213 tell both.

Ruled out: the ejection by ingress nodes as the only measure. Each node has to learn it by itself, and the sidecar's health checks continue.

The stand-in upstreams can play interim responses without end (fault "endless"), for requests and health checks.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -9,6 +9,8 @@
 import aiohttp
 from aiohttp import web
 
+from bench.standins import endless
+
 SERVICE_TIME_S = 0.005
 
 
@@ -35,6 +37,9 @@
         self.slowness_percent = 100
         self.healthy = True
         self.behaviour = ''
+        # Whether requests and health checks get interim responses for ever.
+        self.endless = False
+        self.endless_responses = 0
         self.body = b'whole'
         # Whether the body of an answer is the id of its request.
         self.echoes = False
@@ -128,6 +133,12 @@
         if request.path.startswith('/-/'):
             return await self.control(request)
         is_check = request.path == '/health'
+        if self.endless:
+            self.endless_responses += 1
+            if not is_check:
+                self.runs[request.headers.get('Request-Id', '')] += 1
+            await endless.send_interim_responses(request)
+            return web.Response()
         if self.states_in_health or not is_check:
             headers |= self._statements()
         if is_check:
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 import msgspec
 
+from bench.standins import endless
 from jasminebeam import clock
 
 
@@ -74,6 +75,9 @@
         Rate limit that each answer names; None for none.
     leaving : bool
         State in each answer that the upstream is about to stop.
+    endless : bool
+        Answer requests and load reports with interim responses without end;
+        a request counts as a run.
     """
 
     slow_factor: float = 1.0
@@ -82,6 +86,7 @@
     close_after_receipt: bool = False
     limit_per_s: float | None = None
     leaving: bool = False
+    endless: bool = False
 
     def headers(self) -> dict[str, str]:
         """Return what the answers state about the upstream."""
@@ -175,6 +180,9 @@
         if request.path.startswith('/-/'):
             return await self._handle_control(request)
         body = await request.read()
+        if self._faults.endless:
+            self._count_run(request.headers.get('X-Request-Id', ''))
+            return await self._answer_without_end(request)
         if self._faults.shed:
             headers = {SHED_HEADER: '1', **self._faults.headers()}
             return web.Response(status=SHED_STATUS, headers=headers)
@@ -184,6 +192,12 @@
             return web.Response(status=500, text='failing fast')
         return await self._serve(request, request_id, body)
 
+    async def _answer_without_end(
+        self, request: web.BaseRequest
+    ) -> web.Response:
+        await endless.send_interim_responses(request)
+        return web.Response()
+
     async def _serve(
         self, request: web.BaseRequest, request_id: str, body: bytes
     ) -> web.Response:
@@ -239,6 +253,8 @@
             )
 
     async def _handle_control(self, request: web.BaseRequest) -> web.Response:
+        if request.path == '/-/load' and self._faults.endless:
+            return await self._answer_without_end(request)
         if request.path == '/-/load':
             return web.Response(text=str(self._reported_active()))
         if request.path == '/-/runs':
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -120,6 +120,7 @@
         self._routes_source = ''
         self._routes_applied_ms = 0.0
         self.sidecar.on_leaving = self._on_upstream_leaving
+        self.sidecar.on_availability = self._publish_availability
         self._gossip_options = gossip.Options()
         self.membership = self._create_membership()
         self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
@@ -229,7 +230,7 @@
         if replaced is not None:
             self._spawn(self._close_replaced_client(replaced))
         self.membership.publish(
-            phase=upstreams.Phase.READY,
+            phase=self.sidecar.available_phase,
             service=announcement.service,
             slots=announcement.slots,
             cold_start_ms=announcement.cold_start_ms,
@@ -422,6 +423,10 @@
             self.routes.update(self.membership.local_member)
             self.log.write(events.Event.UPSTREAM_DETACHED)
 
+    def _publish_availability(self) -> None:
+        self.membership.publish(phase=self.sidecar.available_phase)
+        self.routes.update(self.membership.local_member)
+
     def drain_upstream(self) -> int:
         """Stop new requests to the upstream; return the number in progress."""
         self.sidecar.drain()
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -21,6 +21,7 @@
 from jasminebeam.sidecar import condition
 from jasminebeam import supervision
 from jasminebeam.telemetry import events
+from jasminebeam.upstreams import suspension
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
@@ -61,6 +62,8 @@
         Limits of the request registry.
     rate_limit : jasminebeam.admission.rate_limit.Options
         Options of the rate limit that the upstream names.
+    suspension : jasminebeam.upstreams.suspension.Options
+        Options of suspensions for unusable responses.
     """
 
     queue_ratio: float = 4.0
@@ -71,6 +74,7 @@
         default_factory=registry.Limits
     )
     rate_limit: rate_limit.Options = rate_limit.DEFAULT_OPTIONS
+    suspension: suspension.Options = suspension.DEFAULT_OPTIONS
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,6 +122,9 @@
         self.reported_load = -1
         # Called once the upstream has stated that it is about to stop.
         self.on_leaving: typing.Callable[[], None] = self.drain
+        # Called when a suspension has begun or ended.
+        self.on_availability: typing.Callable[[], None] = lambda: None
+        self._suspension = suspension.Suspension(limits.suspension)
         self._stopping = False
         self._limits = limits
         self._log = log
@@ -175,9 +182,10 @@
             and self.announcement.service != announcement.service
         ):
             self._refuse_waiting(verdict.Reason.NOT_READY)
-        self._condition.on_attach(
-            _is_same_upstream(self.announcement, announcement)
-        )
+        same_upstream = _is_same_upstream(self.announcement, announcement)
+        self._condition.on_attach(same_upstream)
+        if not same_upstream:
+            self._suspension = suspension.Suspension(self._limits.suspension)
         self._client = upstream_client
         self.announcement = announcement
         self.phase = upstreams.Phase.READY
@@ -230,6 +238,13 @@
         """Return True while a caller's request runs at the upstream."""
         return request_id in self._running
 
+    @property
+    def available_phase(self) -> upstreams.Phase:
+        """Phase of the upstream for other nodes."""
+        if self._suspension.active and self.phase is upstreams.Phase.READY:
+            return upstreams.Phase.ABSENT
+        return self.phase
+
     @property
     def in_flight(self) -> int:
         """Number of requests at the upstream."""
@@ -256,9 +271,15 @@
             handler(message, send)
 
     async def check_health(self) -> upstreams.Health | None:
-        """Return the upstream's health and its possibly stale load report."""
-        if self._client is None:
+        """Return the upstream's health and its possibly stale load report.
+
+        There is no check during a suspension.
+        """
+        if self._client is None or self._suspension.wait_ms(self._clock()):
             return None
+        if self._suspension.active and not self._has_health_check():
+            self._suspension.resume(self._clock())
+            self._on_resumed()
         return await self._client.check_health()
 
     def on_report(self, report: upstreams.LoadReport) -> None:
@@ -291,6 +312,10 @@
         self, announcement: upstreams.Announcement, to_check: bool
     ) -> None:
         """Record a complete response of the upstream."""
+        if not _is_same_upstream(self.announcement, announcement):
+            return
+        if self._suspension.on_sound(to_check, self._clock()):
+            self._on_resumed()
 
     def on_unusable(
         self,
@@ -307,6 +332,33 @@
             received_bytes=response.received_bytes,
             health_check=response.to_check,
         )
+        if not _is_same_upstream(self.announcement, announcement):
+            return
+        if self._suspension.on_unusable(
+            response.reason, response.to_check, self._clock()
+        ):
+            self._on_suspended(reason)
+
+    def _has_health_check(self) -> bool:
+        return self.announcement is None or bool(self.announcement.load_path)
+
+    def _on_suspended(self, reason: str) -> None:
+        self._log.write(
+            events.Event.UPSTREAM_SUSPENDED,
+            upstream=self.announcement.upstream_id,
+            reason=reason,
+            duration_ms=self._suspension.duration_ms,
+        )
+        self.on_availability()
+        self._refuse_waiting(verdict.Reason.NOT_READY)
+
+    def _on_resumed(self) -> None:
+        self._log.write(
+            events.Event.UPSTREAM_RESUMED,
+            upstream=self.announcement.upstream_id,
+            duration_ms=self._suspension.duration_ms,
+        )
+        self.on_availability()
 
     def adopt_pending_notice(self) -> None:
         """Apply what ingress nodes have told about the attached upstream.
@@ -365,7 +417,7 @@
     def sample(self, now_ms: float) -> upstreams.LoadSample:
         """Return the current load."""
         return self._slots.sample(
-            self.phase,
+            self.available_phase,
             self.reported_load,
             self._host_speed.slowness(now_ms),
             now_ms,
@@ -386,8 +438,10 @@
 
     def _on_query(self, message: messages.AdmissionQuery, send: Send) -> None:
         now_ms = self._clock()
-        if not self._slots.limit.wait_ms(0, now_ms) and (
-            self._host_speed.needs_check(now_ms, ESTIMATE_MAX_AGE_MS)
+        if (
+            not self._suspension.active
+            and not self._slots.limit.wait_ms(0, now_ms)
+            and self._host_speed.needs_check(now_ms, ESTIMATE_MAX_AGE_MS)
         ):
             self._pending_queries.append((message, send, now_ms))
             self._start_polling()
@@ -568,7 +622,7 @@
             return verdict.not_run(verdict.Reason.STOPPING)
         if self.phase is upstreams.Phase.DRAINING:
             return verdict.not_run(verdict.Reason.DRAINING)
-        if self.announcement is None:
+        if self.announcement is None or self._suspension.active:
             return verdict.not_run(verdict.Reason.NOT_READY)
         if self.announcement.service != service:
             return verdict.not_run(verdict.Reason.NO_SERVICE)
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -67,6 +67,14 @@
         logbook.WARNING,
         'connection to the upstream closed: unusable response',
     )
+    UPSTREAM_SUSPENDED = EventKind(
+        212,
+        logbook.WARNING,
+        'upstream out of service: unusable responses',
+    )
+    UPSTREAM_RESUMED = EventKind(
+        213, logbook.INFO, 'upstream back in service: responses usable'
+    )
     LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
