Limit the bytes that all responses of a node's upstream hold together

A node limited each response to about 2.1 MB, and nothing limited their sum: a service may have 260 connections, and bodies without end on 32 of them hold 64 MB at a moment.

The connections of a node's upstream clients, for requests and for health checks, share a budget of 16 MiB for incomplete responses. Beyond it, a connection that receives more and holds more than 64 KiB is closed (reason "node" of event 211); short responses go on.

test_many_connections_held_a_whole_response_each could not be written before: 32 connections, a budget of 4 MiB, reads of 4 KiB and of 256 KiB.

--- a/jasminebeam/http_client.py
+++ b/jasminebeam/http_client.py
@@ -53,6 +53,8 @@
     FRAMING = 'framing'
     BODY = 'body'
     MALFORMED = 'malformed'
+    # Limit of all responses of the node together.
+    NODE = 'node'
     # Bytes on a connection on which no request waits.
     UNSOLICITED = 'unsolicited'
 
@@ -61,6 +63,25 @@
     """Ignore that a connection was closed while no request waited."""
 
 
+class ByteBudget:
+    """Counts the bytes that the connections of a node hold together.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Maximum number of bytes.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    @property
+    def exceeded(self) -> bool:
+        """True if the connections hold more than the limit."""
+        return self.held_bytes > self.limit_bytes
+
+
 class ResponseTooLargeError(aiohttp.ClientError):
     """The server exceeded a limit of one response.
 
@@ -90,6 +111,8 @@
         Event loop of the connection.
     on_unsolicited : callable
         Receives the number of bytes after a complete response, once.
+    budget : ByteBudget or None
+        Counts the bytes of incomplete responses; None for no common limit.
     """
 
     limit_bytes = FRAMING_BYTES
@@ -98,14 +121,17 @@
     _has_ended = False
     # Body of the final response; None before its head is complete.
     _final_body: streams.StreamReader | None = None
+    _held_bytes = 0
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         on_unsolicited: typing.Callable[[int], None] = ignore_unsolicited,
+        budget: ByteBudget | None = None,
     ) -> None:
         super().__init__(loop)
         self._on_unsolicited = on_unsolicited
+        self._budget = budget
 
     def start_exchange(self) -> None:
         """Count the bytes of the next response from zero."""
@@ -121,6 +147,7 @@
             self._end_unsolicited(len(data))
             return
         self.received_bytes += len(data)
+        self._hold(len(data))
         parsed_bytes = 0
         while not self._has_ended:
             part_bytes = BODY_PART_BYTES
@@ -133,11 +160,18 @@
             reason = self._exceeded(self.received_bytes - unparsed_bytes)
             if reason is not None:
                 self._end(reason)
+            if self._is_complete():
+                self._hold(-self._held_bytes)
             if not unparsed_bytes or self._is_unusable():
                 return
             if self._is_complete():
                 self._end_unsolicited(unparsed_bytes)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give back the bytes of an incomplete response."""
+        self._hold(-self._held_bytes)
+        super().connection_lost(exc)
+
     def feed_data(
         self,
         data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
@@ -152,6 +186,20 @@
             self._final_body = body
         super().feed_data(data, size)
 
+    def _hold(self, size_bytes: int) -> None:
+        self._held_bytes += size_bytes
+        if self._budget is not None:
+            self._budget.held_bytes += size_bytes
+
+    def _is_over_budget(self) -> bool:
+        """Return True if this connection is to make room for others.
+
+        Short responses go on: they need little, and end soon.
+        """
+        if self._budget is None or self._held_bytes <= FRAMING_BYTES:
+            return False
+        return self._budget.exceeded
+
     def _is_complete(self) -> bool:
         return self._final_body is not None and self._final_body.is_eof()
 
@@ -162,6 +210,8 @@
         """Return the limit that the response exceeds, or None."""
         if self._interim_responses > MAX_INTERIM_RESPONSES:
             return EndReason.INTERIM
+        if self._is_over_budget():
+            return EndReason.NODE
         body = self._final_body
         if body is None:
             return EndReason.HEAD if parsed_bytes > FRAMING_BYTES else None
@@ -184,6 +234,7 @@
     def _end(self, reason: EndReason) -> None:
         """Abort the connection and fail its response."""
         self._has_ended = True
+        self._hold(-self._held_bytes)
         error = ResponseTooLargeError(reason, self.received_bytes)
         payload, transport = self._payload, self.transport
         self.set_exception(error)
@@ -207,6 +258,8 @@
     on_unsolicited : callable
         Receives the number of bytes for which a connection was closed while
         no request waited on it.
+    budget : ByteBudget or None
+        Common limit of the connections of several connectors.
     options
         As for the base class.
 
@@ -224,12 +277,16 @@
         protocol: type[LimitedProtocol] = LimitedProtocol,
         socket_options: typing.Sequence[SocketOption] = (),
         on_unsolicited: typing.Callable[[int], None] = ignore_unsolicited,
+        budget: ByteBudget | None = None,
         **options: typing.Any,
     ) -> None:
         super().__init__(**options)
         self._limit_bytes = 2 * max_body_bytes + FRAMING_BYTES
         self._factory = functools.partial(
-            protocol, loop=self._loop, on_unsolicited=on_unsolicited
+            protocol,
+            loop=self._loop,
+            on_unsolicited=on_unsolicited,
+            budget=budget,
         )
         self._socket_options = socket_options
 
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -17,6 +17,7 @@
 from jasminebeam.configuration import directory
 from jasminebeam.configuration import relay
 from jasminebeam.configuration import routes as route_sets
+from jasminebeam import http_client
 from jasminebeam.ingress import admission_client
 from jasminebeam.ingress import dispatcher
 from jasminebeam.membership import gossip
@@ -129,6 +130,7 @@
         self._servers: list[adapters_module.Server] = []
         self._stopping = False
         self._upstream_reachable = True
+        self._response_budget = http_client.ByteBudget(client.MAX_HELD_BYTES)
 
     def _create_sidecar(self, boot_id: int) -> sidecar.Sidecar:
         upstream = self._settings.upstream
@@ -394,6 +396,7 @@
             on_report,
             on_notice,
             self.sidecar,
+            self._response_budget,
         )
 
     def _record_reachability(self, reachable: bool) -> None:
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -32,6 +32,10 @@
 HEALTH_TIMEOUT_S = 1.0
 MAX_HEALTH_BYTES = 64 * 1024
 
+# Bytes of incomplete responses of a node's upstreams together, of requests
+# and of health checks.
+MAX_HELD_BYTES = 16 * 1024 * 1024
+
 # Share of the upstream's idle timeout for which a connection is reused. The
 # rest is a margin: a request sent just before the timeout could arrive after
 # the upstream has closed the connection.
@@ -216,6 +220,8 @@
         what the upstream states about itself in it.
     observer : ResponseObserver
         Receives whether the responses can be used.
+    budget : ByteBudget or None
+        Common limit of the responses to all clients of the node.
     """
 
     def __init__(
@@ -226,6 +232,7 @@
         on_report: typing.Callable[[upstreams.LoadReport], None],
         on_notice: OnNotice = ignore_notice,
         observer: ResponseObserver | None = None,
+        budget: http_client.ByteBudget | None = None,
     ) -> None:
         self.announcement = announcement
         self._max_answer_bytes = max_answer_bytes
@@ -241,6 +248,7 @@
             ttl_dns_cache=None,
             keepalive_timeout=INITIAL_REUSE_S,
             on_unsolicited=self._on_unsolicited,
+            budget=budget,
         )
         self._session = http_client.create_session(
             self._connector,
--- a/tests/test_response_limits.py
+++ b/tests/test_response_limits.py
@@ -48,8 +48,8 @@
         super().feed_data(data, size)
 
 
-def _protocol(loop):
-    created = _CountingProtocol(loop)
+def _protocol(loop, **options):
+    created = _CountingProtocol(loop, **options)
     created.connection_made(_Transport())
     created.limit_bytes = 2 * BODY_LIMIT_BYTES + http_client.FRAMING_BYTES
     created.start_exchange()
@@ -158,3 +158,45 @@
         return found
 
     assert asyncio.run(read()) == b''.join(chunks)
+
+
+@pytest.mark.parametrize('block_bytes', [4_096, 256 * 1024])
+async def test_many_connections_held_a_whole_response_each(block_bytes):
+    """All connections of a node share one limit; short answers go on."""
+    loop = asyncio.get_running_loop()
+    budget = http_client.ByteBudget(4 * 1024 * 1024)
+    protocols = [_protocol(loop, budget=budget) for _ in range(32)]
+    transports = [protocol.transport for protocol in protocols]
+    data = b'HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n'
+    data += b'm' * 900_000
+    for start in range(0, len(data), block_bytes):
+        for protocol, transport in zip(protocols, transports, strict=True):
+            if not transport.closed:
+                protocol.data_received(data[start : start + block_bytes])
+        framing_bytes = 32 * http_client.FRAMING_BYTES
+        assert budget.held_bytes <= budget.limit_bytes + framing_bytes
+    open_count = sum(not transport.closed for transport in transports)
+    assert 1 <= open_count < 8
+    short = _protocol(loop, budget=budget)
+    short.data_received(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    assert (await short.read())[0].code == 200
+    assert not short.should_close
+    for protocol in protocols:
+        protocol.connection_lost(None)
+    assert budget.held_bytes == 0
+
+
+async def test_complete_response_gives_its_bytes_back():
+    """A kept connection holds nothing between two responses."""
+    budget = http_client.ByteBudget(4 * 1024 * 1024)
+    tested = _protocol(asyncio.get_running_loop(), budget=budget)
+    for _ in range(3):
+        tested.start_exchange()
+        tested.data_received(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n'
+        )
+        tested.data_received(b'm' * 100_000)
+        assert budget.held_bytes > 100_000
+        tested.data_received(b'm' * 100_000)
+        _read_all(tested)
+        assert budget.held_bytes == 0
