Bound the work and the memory of requests without end

32 callers that send requests without end and connect again at once made a node use up to 810 MB of 300 and kept requests of others without an answer.

Three causes. After a malformed header the parser was given all that followed; it made an error of each read, and the error's traceback referred to the read (up to 256 KiB) until the collector of reference cycles ran. Within one read, all requests were queued, thousands of them, though 32 may wait. Unread bodies of closed connections stayed in cycles, too. The bytes of an incomplete header were limited a line, not together, and chunk framing by twice the largest body.

Data are parsed in parts of 4 KiB. What follows a malformed request is dropped, and reading stops after 64 KiB of it; requests before it are still answered. What does not fit into the queue of requests, or a body that waits for its reader, is parsed later. A header has at most `header_bytes` and 64 KiB together, and framing `header_bytes` and 16 KiB beyond twice the body received. A lost connection frees its unread data. The parser's text in event 706 is cut at 200 characters.

--- a/jasminebeam/callers/connections.py
+++ b/jasminebeam/callers/connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import http
+import re
 import typing
 
 from aiohttp import http_parser
@@ -29,7 +30,16 @@
 # Bytes of a request besides its header and body, such as chunk extensions.
 FRAMING_BYTES = 64 * 1024
 
+# Bytes that are parsed at once. An error of the parser refers to them until
+# it is collected.
+PART_BYTES = 4 * 1024
+
+# Bytes of chunk framing beyond the length of the body. Each chunk costs the
+# parser the same, however short it is.
+CHUNK_OVERHEAD_BYTES = 16 * 1024
+
 _HEADER_END = b'\r\n\r\n'
+_BLANK_LINES = re.compile(rb'[\r\n]*')
 
 
 class RequestProcessor(typing.Protocol):
@@ -98,26 +108,71 @@
         )
         # Body of the last message that arrived.
         self._last_payload = streams.EMPTY_PAYLOAD
+        # Bytes of an incomplete header, or of a message whose body is not
+        # complete.
         self._message_bytes = 0
+        # Data behind requests, or a body, that wait for their turn.
+        self._unparsed = b''
+        self._has_malformed = False
+        self._dropped_bytes = 0
         self._unread_timer: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
         """Parse data; limit the time and the size of an incomplete message."""
+        data, self._unparsed = self._unparsed + data, b''
+        end = 0
+        while not end or end < len(data):
+            if self._has_malformed:
+                self._drop(len(data) - end)
+                return
+            if self._force_close:
+                return
+            if self._is_full():
+                # The base class has paused reading.
+                self._unparsed = data[end:]
+                return
+            start, end = end, self._part_end(data, end)
+            self._parse(data[start:end])
+            if not data:
+                return
+
+    def _is_full(self) -> bool:
+        """Return True if requests, or a body, wait for their turn."""
+        return (
+            self._reading_paused
+            or len(self._messages) >= self._max_msg_queue_size
+        )
+
+    def _part_end(self, data: bytes, start: int) -> int:
+        """Return the end of the bytes to parse next."""
+        limit = min(len(data), start + PART_BYTES)
         if not self._last_payload.is_eof():
-            self._parse(data)
-            return
+            return limit
         # If a message is malformed, the parser drops all messages of the
         # same data. Parsing each header by itself keeps those before it.
-        for part in _split_after_headers(data):
-            self._parse(part)
+        return _header_end(data, start, limit)
+
+    def _drop(self, size_bytes: int) -> None:
+        """Drop what follows a malformed request.
+
+        The requests before it are still answered, so the connection stays
+        open until then.
+        """
+        self._dropped_bytes += size_bytes
+        if self._dropped_bytes > FRAMING_BYTES and self.transport is not None:
+            self.transport.pause_reading()
 
     def _parse(self, data: bytes) -> None:
         before = self._request_count
+        in_body = not self._last_payload.is_eof()
         super().data_received(data)
         arrived = self._request_count - before
         if arrived:
             self._on_messages(arrived)
-        self._limit_message(len(data))
+        if arrived or (in_body and self._last_payload.is_eof()):
+            self._message_bytes = 0
+        if not (arrived and self._last_payload.is_eof()):
+            self._limit_message(len(data))
         if arrived or self._current_request is not None:
             self._stop_header_timer()
         elif self._header_timer is None and not self._messages:
@@ -154,8 +209,16 @@
         self._stop_header_timer()
         self._stop_unread_timer()
         self._pipeline.cancel()
+        self._release_buffers()
         super().connection_lost(exc)
 
+    def _release_buffers(self) -> None:
+        """Free unread data, which cycles of references would keep longer."""
+        self._unparsed = b''
+        if not self._last_payload.is_eof():
+            self._last_payload._buffer.clear()
+            self._last_payload._http_chunk_splits = None
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -175,6 +238,8 @@
 
     def _on_messages(self, count: int) -> None:
         arrived = list(self._messages)[-count:]
+        if not isinstance(arrived[-1][0], http_parser.RawRequestMessage):
+            self._has_malformed = True
         if not self._last_payload.is_eof():
             # Only a malformed body is followed by a message before its end.
             self._processor.on_error(http.HTTPStatus.BAD_REQUEST, None)
@@ -208,16 +273,27 @@
 
     def _limit_message(self, size_bytes: int) -> None:
         """Close a connection whose current message grows without end."""
-        if self._last_payload.is_eof():
-            self._message_bytes = 0
-            return
         self._message_bytes += size_bytes
         limits = self._processor.limits
-        limit_bytes = limits.header_bytes + 2 * limits.body_bytes
-        if self._message_bytes > limit_bytes + FRAMING_BYTES:
+        limit_bytes = limits.header_bytes + FRAMING_BYTES
+        overhead_bytes = 0
+        if not self._last_payload.is_eof():
+            limit_bytes += 2 * limits.body_bytes
+            overhead_bytes = self._chunk_overhead()
+        if (
+            self._message_bytes > limit_bytes
+            or overhead_bytes > limits.header_bytes + CHUNK_OVERHEAD_BYTES
+        ):
             self._processor.on_oversized(self._message_bytes)
             self.force_close()
 
+    def _chunk_overhead(self) -> int:
+        """Return the bytes of the message beyond twice those of its body."""
+        if self._reading_paused:
+            # The parser waits for the reader of the body.
+            return 0
+        return self._message_bytes - 2 * self._last_payload.total_bytes
+
     def _process_keepalive(self) -> None:
         # The idle timeout may have been raised since the connection opened.
         limits = self._processor.limits
@@ -259,17 +335,20 @@
             self._header_timer = None
 
 
-def _split_after_headers(data: bytes) -> list[bytes]:
-    """Return the parts of the data that end where a header may end.
+def _header_end(data: bytes, start: int, limit: int) -> int:
+    """Return where the header that begins at `start` may end.
 
     Examples
     --------
-    >>> _split_after_headers(b'one\\r\\n\\r\\ntwo\\r\\n\\r\\nthr')
-    [b'one\\r\\n\\r\\n', b'two\\r\\n\\r\\n', b'thr']
+    >>> _header_end(b'one\\r\\n\\r\\ntwo', 0, 10)
+    7
+    >>> _header_end(b'one\\r\\n\\r\\ntwo', 7, 10)
+    10
     """
-    *parts, rest = data.split(_HEADER_END)
-    complete = [part + _HEADER_END for part in parts]
-    return [*complete, rest] if rest or not complete else complete
+    # Blank lines may precede a request; they are no header.
+    first = _BLANK_LINES.match(data, start, limit).end() if start else 0
+    end = data.find(_HEADER_END, first, limit)
+    return limit if end < 0 else end + len(_HEADER_END)
 
 
 class LimitedServer(web.Server):
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -31,6 +31,8 @@
 # a burst in which all callers connect at the same time.
 BACKLOG = 1_024
 STOP_POLL_S = 0.01
+# The parser's errors repeat what the caller has sent.
+MAX_ERROR_CHARS = 200
 
 
 class CallerServer:
@@ -158,7 +160,8 @@
         event = events.Event.REQUEST_MALFORMED
         if status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
             event = events.Event.REQUEST_FAILED
-        self._log.write(event, status=int(status), error=repr(error))
+        text = repr(error)[:MAX_ERROR_CHARS]
+        self._log.write(event, status=int(status), error=text)
 
     def on_unread(self, unread_bytes: int) -> None:
         """Record an answer that the caller does not read."""
