Play interim responses without end in the soak

The stand-in upstreams could send them, and no soak did. Each soak draws "endless-upstream" among its events, for both interfaces.

--- a/bench/soak/actions.py
+++ b/bench/soak/actions.py
@@ -46,6 +46,7 @@
     schedule.Kind.SLOW_UPSTREAM: {'slow_factor': SLOW_FACTOR},
     schedule.Kind.FAILING_UPSTREAM: {'fail_fast': True},
     schedule.Kind.CLOSING_UPSTREAM: {'close_after_receipt': True},
+    schedule.Kind.ENDLESS_UPSTREAM: {'endless': True},
     schedule.Kind.SHEDDING_UPSTREAM: {'shed': True},
 }
 _STORE_FAULTS = {
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -36,6 +36,7 @@
     SLOW_UPSTREAM = 'slow-upstream'
     FAILING_UPSTREAM = 'failing-upstream'
     CLOSING_UPSTREAM = 'closing-upstream'
+    ENDLESS_UPSTREAM = 'endless-upstream'
     SHEDDING_UPSTREAM = 'shedding-upstream'
     LIMITED_UPSTREAM = 'limited-upstream'
     LEAVING_UPSTREAM = 'leaving-upstream'
--- a/bench/standins/controlled.py
+++ b/bench/standins/controlled.py
@@ -135,6 +135,7 @@
         limit = faults.limit_per_s
         self.limit = '' if limit is None else str(limit)
         self.leaving = faults.leaving
+        self.endless = faults.endless
 
 
 class ControlledStore(platform_store.PlatformStoreStandIn):
--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -136,7 +136,9 @@
         if self.endless:
             self.endless_responses += 1
             if not is_check:
-                self.runs[request.headers.get('Request-Id', '')] += 1
+                request_id = request.headers.get('Request-Id', '')
+                self.runs[request_id] += 1
+                self.on_run(request_id)
             await endless.send_interim_responses(request)
             return web.Response()
         if self.states_in_health or not is_check:
