Report attempts without an answer at a bounded rate

In an outage each node that tried the store sent reports without a limit, and published its lost contact in its member record, which spreads to the whole fleet.

--- a/jasminebeam/configuration/watch_keeper.py
+++ b/jasminebeam/configuration/watch_keeper.py
@@ -38,6 +38,9 @@
 FIRST_RETRY_S = 0.9
 RETRY_S = 4.0
 
+# Shortest time between two reports of attempts in a failure domain.
+ATTEMPT_INTERVAL_MS = 500.0
+
 # A node beyond the first ranks that knows of an attempt of this age calls
 # with a probability by which all of its domain together call at this rate.
 ATTEMPT_HOLD_MS = 2_500.0
@@ -257,7 +260,7 @@
         """Call the store; watch and report if it answers."""
         if rank and not self.is_watching:
             # The nodes of higher ranks then wait.
-            self._reporter.report_watch(False)
+            self._report_attempt(self._clock())
         if await self._call_with_notice():
             self._answers += 1
             self._next_call_ms = -math.inf
@@ -269,9 +272,15 @@
             retry_s = FIRST_RETRY_S if is_regular else RETRY_S
             delay_ms = 1_000 * retry_s * self._jitter()
             self._next_call_ms = self._clock() + delay_ms
-            self._reporter.report_watch(False)
+            self._report_attempt(self._clock())
             await self._stop('store_unavailable')
-        self._publish_contact()
+        self._publish_contact(rank)
+
+    def _report_attempt(self, now_ms: float) -> None:
+        """Report a call without an answer unless another node just has."""
+        reports = self._reporter.watch_reports
+        if reports.attempt_age_ms(now_ms) >= ATTEMPT_INTERVAL_MS:
+            self._reporter.report_watch(False)
 
     async def _call_with_notice(self) -> bool:
         """Call the store; report an attempt that takes long."""
@@ -279,7 +288,7 @@
         try:
             await asyncio.wait({calling}, timeout=ATTEMPT_NOTICE_S)
             if not calling.done():
-                self._reporter.report_watch(False)
+                self._report_attempt(self._clock())
             return await calling
         finally:
             calling.cancel()
@@ -332,9 +341,14 @@
             for node_id, known in recent.items()
         )
 
-    def _publish_contact(self) -> None:
-        """Publish a lost contact at once, and its return when it lasts."""
+    def _publish_contact(self, rank: int) -> None:
+        """Publish a lost contact at once, and its return when it lasts.
+
+        Only the first nodes do, as each record spreads to the whole fleet.
+        """
         has_contact = self._answers > 0
+        if not has_contact and rank >= watch_timing.FIRST_TIER_END:
+            return
         if has_contact == self._reporter.has_store_contact:
             return
         if not has_contact or self._answers >= ANSWERS_BEFORE_CONTACT:
--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -760,6 +760,9 @@
     before = fleet.store.attempts
     fleet.advance(20.0)
     assert fleet.store.attempts - before <= 20 * 6 * DOMAINS
+    # Each record of a lost contact spreads to the whole fleet.
+    without = [node for node in fleet.nodes if not node.has_store_contact]
+    assert len(without) <= DOMAINS * watch_timing.FIRST_TIER_END
     fleet.store.silent = False
     fleet.advance(1.0)
     fleet.write_routes(2)
