Repeat slowness checks that time out after a growing delay

While requests wait, the sidecar asks for the host's slowness every 15 ms.

After a check without a result the next one waits for 50 ms, and then for twice the delay, up to 1 s. Requests are decided meanwhile as after a failed check; the health check each second goes on.

test_checks_that_time_out_were_repeated_without_a_growing_delay failed before (96 checks, at most 9 allowed).

--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -36,6 +36,10 @@
 # check that takes longer is out of date when it arrives.
 SLOWNESS_CHECK_TIMEOUT_S = 0.05
 
+# Delay of the next such check after one without a result; doubled each time.
+FIRST_CHECK_DELAY_MS = 50.0
+MAX_CHECK_DELAY_MS = 1_000.0
+
 # An admission estimate does not start a request, so it may rely on an older
 # slowness report than a start may. This saves checks.
 ESTIMATE_MAX_AGE_MS = 60.0
@@ -144,6 +148,9 @@
         self._pending_queries: list[
             tuple[messages.AdmissionQuery, Send, float]
         ] = []
+        # Delay after slowness checks without a result, and its end.
+        self._check_delay_ms = 0.0
+        self._next_check_ms = 0.0
         self._poll_wanted = asyncio.Event()
         self._poll_task: asyncio.Task[None] | None = None
         self._registry = registry.RequestRegistry(limits.registry)
@@ -185,6 +192,7 @@
         same_upstream = _is_same_upstream(self.announcement, announcement)
         self._condition.on_attach(same_upstream)
         if not same_upstream:
+            self._check_delay_ms = self._next_check_ms = 0.0
             self._suspension = suspension.Suspension(self._limits.suspension)
         self._client = upstream_client
         self.announcement = announcement
@@ -566,9 +574,7 @@
             now_ms = self._clock()
             limit_wait_s = self._slots.limit.wait_ms(0, now_ms) / 1_000
             if not limit_wait_s and self._host_speed.needs_check(now_ms):
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(SLOWNESS_CHECK_TIMEOUT_S):
-                        await self.check_health()
+                await self._check_slowness(now_ms)
             self._process_pending()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
@@ -576,6 +582,23 @@
                 ):
                     await self._poll_wanted.wait()
 
+    async def _check_slowness(self, now_ms: float) -> None:
+        """Run a health check unless the latest ones had no result."""
+        if now_ms < self._next_check_ms:
+            return
+        health = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SLOWNESS_CHECK_TIMEOUT_S):
+                health = await self.check_health()
+        if health is not None:
+            self._check_delay_ms = 0.0
+            return
+        self._check_delay_ms = min(
+            max(FIRST_CHECK_DELAY_MS, 2 * self._check_delay_ms),
+            MAX_CHECK_DELAY_MS,
+        )
+        self._next_check_ms = self._clock() + self._check_delay_ms
+
     def _process_pending(self) -> None:
         """Decide on the requests and queries that wait for a report."""
         now_ms = self._clock()
--- a/tests/test_sidecar/test_sidecar.py
+++ b/tests/test_sidecar/test_sidecar.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 
 from jasminebeam.model import upstreams
@@ -88,3 +89,23 @@
     assert replaced.upstream.runs.total() == 1
     outcomes = {cluster.result(task).outcome for task in tasks}
     assert outcomes == {verdict.Outcome.ANSWERED, verdict.Outcome.NOT_RUN}
+
+
+def test_checks_that_time_out_were_repeated_without_a_growing_delay(cluster):
+    """An upstream that ends no answer must not get a check at each poll."""
+    cluster.add('silent', slots=9)
+    silent = cluster.servers['silent']
+    checks_ms = []
+
+    async def never_answer():
+        checks_ms.append(cluster.loop.now_ms())
+        await asyncio.Event().wait()
+
+    silent.upstream.check_health = never_answer
+    silent.sidecar.on_report(FAST)
+    for number in range(200):
+        cluster.send(cluster.call(request_id=f'r{number}'))
+        cluster.run(0.025)
+    # 5 s: delays of 50 ms doubled up to 1 s, and timeouts of 50 ms.
+    assert 5 <= len(checks_ms) <= 9
+    assert silent.upstream.runs.total() > 150
