--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -29,6 +29,9 @@
 SYNC_CHUNK_RECORDS = 200
 SMALL_FLEET_MEMBERS = 500
 
+# Revisions not yet in force whose first announcers are remembered.
+MAX_ANNOUNCED_REVISIONS = 64
+
 # Sources of a route set that are no node.
 STORE_SOURCE = 'store'
 PEER_SOURCE = 'peer'
@@ -239,7 +242,8 @@
         """
         if peer_revision <= self._routes.revision:
             return None
-        self._routes_announcers.setdefault(peer_revision, node_id)
+        if len(self._routes_announcers) < MAX_ANNOUNCED_REVISIONS:
+            self._routes_announcers.setdefault(peer_revision, node_id)
         return messages.RoutesQuery(self._routes.revision)
 
     def adopt_routes(self, new: routes.RouteSet) -> Effects:
