Stop a watch whose first read the store refuses

Found by the review of the fix, not seen by callers: while the store answered cheap reads and refused others, a node that heard no report started to watch, its read failed, it stayed a watcher without a report, and so did every other node, each of which went on reading: 1,724 calls in 5 s at 200 nodes, and more with each span.

Cause: an answer to the cheap call counted as contact, whatever became of the read. Now a first read that fails counts as a call without an answer: the node stops, waits and reports the attempt. The end of a watch also forgets what it had read; a later one took the former read for its own.

A poll is given up twice because of one revision, since the answer of the second may be lost too.

test_all_nodes_watched_while_only_full_reads_were_refused failed before. The tests of test_watch_keeper.py are from that review.

--- a/jasminebeam/configuration/route_watch.py
+++ b/jasminebeam/configuration/route_watch.py
@@ -26,6 +26,10 @@
 # then returns several of them.
 WATCH_PAUSE_S = 0.5
 
+# Polls that are given up because of one revision: the answer of the second
+# may be lost as well.
+MAX_GIVE_UPS = 2
+
 Decode = typing.Callable[[bytes], 'result.Result[routes.RouteSet, str]']
 
 
@@ -71,18 +75,26 @@
         # Revision of the store up to which all changes have been received.
         self._seen_revision = 0
         self._compared_revision = 0
-        self._has_read = asyncio.Event()
+        # Revision because of which polls were given up, and their number.
+        self._given_up_revision = 0
+        self._give_ups = 0
+        self._read_ended = asyncio.Event()
         self._following: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Read the key and watch its changes."""
-        self._reset()
+        try:
+            await self._read_and_follow()
+        finally:
+            self._reset()
+
+    async def _read_and_follow(self) -> None:
         delay_s = RETRY_MIN_S
         while True:
             if not self._seen_revision:
                 self._seen_revision = await self.read()
+                self._read_ended.set()
             if self._seen_revision:
-                self._has_read.set()
                 delay_s = RETRY_MIN_S
                 if await self._follow():
                     # The next poll returns what this one has missed.
@@ -93,14 +105,14 @@
 
     def _reset(self) -> None:
         self._seen_revision = 0
-        self._has_read.clear()
+        self._read_ended.clear()
 
     async def wait_until_read(self, timeout_s: float) -> bool:
-        """Wait for the first read; return True if it has succeeded."""
+        """Wait for the end of a read; return True if it has succeeded."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                await self._has_read.wait()
-        return self._has_read.is_set()
+                await self._read_ended.wait()
+        return self._seen_revision > 0
 
     async def read(self) -> int:
         """Apply the routes in the store; return the store's revision.
@@ -154,12 +166,21 @@
         first = max(self._seen_revision, self._compared_revision)
         if not self._seen_revision or store_revision <= first:
             return
-        self._compared_revision = store_revision
-        known = sum(
-            first < revision <= store_revision for revision in other_revisions
-        )
-        if known < store_revision - first:
-            self.give_up('store_changed')
+        known = {
+            revision
+            for revision in other_revisions
+            if first < revision <= store_revision
+        }
+        if len(known) >= store_revision - first:
+            self._compared_revision = store_revision
+            return
+        if store_revision != self._given_up_revision:
+            self._given_up_revision = store_revision
+            self._give_ups = 0
+        self._give_ups += 1
+        if self._give_ups >= MAX_GIVE_UPS:
+            self._compared_revision = store_revision
+        self.give_up('store_changed')
 
     async def _follow(self) -> bool:
         """Apply changes; return True if the watch was given up."""
--- a/jasminebeam/configuration/watch_keeper.py
+++ b/jasminebeam/configuration/watch_keeper.py
@@ -260,11 +260,15 @@
         if rank and not self.is_watching:
             # The nodes of higher ranks then wait.
             self._report_attempt(self._clock())
-        if await self._call_with_notice():
+        answered = await self._call_with_notice()
+        if answered and self._has_to_watch(rank, self._clock()):
+            # The store may answer cheap reads and refuse others.
+            answered = await self._watch_store(rank)
+            if answered:
+                self._reporter.report_watch(True)
+        if answered:
             self._answers += 1
             self._next_call_ms = -math.inf
-            if await self._watch_store(rank):
-                self._reporter.report_watch(True)
         else:
             self._answers = 0
             is_regular = rank < REGULAR_WATCHERS
@@ -292,11 +296,12 @@
         finally:
             calling.cancel()
 
+    def _has_to_watch(self, rank: int, now_ms: float) -> bool:
+        return self.is_watching or self._is_silent(rank, now_ms)
+
     async def _watch_store(self, rank: int) -> bool:
-        """Watch unless another node does; return True if up to date."""
+        """Watch the store; return True if the routes are up to date."""
         if not self.is_watching:
-            if not self._is_silent(rank, self._clock()):
-                return False
             self._start(rank, self._clock())
         else:
             self._replace_old_poll(self._clock())
