Check reports of watchers where they enter a node

Four reports within a round trip closed a sound connection as silent. The source of a route set named the first sender of a report in place of the node that had passed it on.

Only reports of alive members of the own domain count; unanswered messages are counted once in half a second; the source of a set that a report announced is unknown; a domain that is unreachable is not the first one.

--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -229,7 +229,7 @@
         return self._routes.revision
 
     def query_newer_routes(
-        self, peer_revision: int, node_id: str
+        self, peer_revision: int, node_id: str = ''
     ) -> messages.RoutesQuery | None:
         """Return a query for the routes that a node has announced, if newer.
 
@@ -238,11 +238,11 @@
         peer_revision : int
             Revision of the peer's route set.
         node_id : str
-            Node that has announced it.
+            Node that has announced it; empty if unknown.
         """
         if peer_revision <= self._routes.revision:
             return None
-        if len(self._routes_announcers) < MAX_ANNOUNCED_REVISIONS:
+        if node_id and len(self._routes_announcers) < MAX_ANNOUNCED_REVISIONS:
             self._routes_announcers.setdefault(peer_revision, node_id)
         return messages.RoutesQuery(self._routes.revision)
 
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -173,10 +173,13 @@
 
     @property
     def is_first_domain(self) -> bool:
-        """True if the own failure domain is the first that has members."""
-        rings = self._state.members.domain_rings
-        first = min(domain for domain, ring in rings.items() if len(ring))
-        return self.local_member.failure_domain == first
+        """True if the own failure domain is the first one alive."""
+        own = self.local_member.failure_domain
+        unreachable = self._state.domain_detector.unreachable
+        return not any(
+            domain < own and len(ring) and domain not in unreachable
+            for domain, ring in self._state.members.domain_rings.items()
+        )
 
     def report_watch(self, answered: bool) -> None:
         """Report an answer of the store, or an attempt without one."""
@@ -190,15 +193,24 @@
         send: typing.Callable[[messages.Message], int],
     ) -> None:
         now_ms = self._clock()
-        self._on_store_age(report.age_ms)
         self._links.send_within_budget(messages.WatchReportAck(), send, now_ms)
-        query = self._state.query_newer_routes(
-            report.routes_revision, report.watcher_id
-        )
+        if not self._is_neighbour(report.watcher_id):
+            return
+        self._on_store_age(report.age_ms)
+        query = self._state.query_newer_routes(report.routes_revision)
         if query is not None:
             self._links.send_within_budget(query, send, now_ms)
         self._pass_on(report, now_ms)
 
+    def _is_neighbour(self, node_id: str) -> bool:
+        """Return True for a node that is alive in the own failure domain."""
+        member = self._state.members.get(node_id)
+        return (
+            member is not None
+            and not member.status
+            and member.failure_domain == self.local_member.failure_domain
+        )
+
     def _pass_on(self, report: messages.WatchReport, now_ms: float) -> None:
         """Record a report and send it on if it is new."""
         if not self.watch_reports.record(report, now_ms):
--- a/jasminebeam/peering/control.py
+++ b/jasminebeam/peering/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 from jasminebeam.peering import links
@@ -14,6 +15,8 @@
 
 MAX_LINKS = 32
 MAX_UNANSWERED = 2
+# Time within which a message to the same peer is not counted again.
+MIN_ANSWER_MS = 500.0
 
 # Bulk transfers carry complete tables and route sets. They have a separate
 # budget and do not count against the budget of the other control messages.
@@ -62,7 +65,8 @@
         self._links: collections.OrderedDict[str, links.Link] = (
             collections.OrderedDict()
         )
-        self._unanswered: dict[str, int] = {}
+        # Messages without an answer, and when the last one was counted.
+        self._unanswered: dict[str, tuple[int, float]] = {}
         self._budget = budget.RateBudget(bytes_per_s, now_ms)
         self._bulk_budget = budget.RateBudget(BULK_BYTES_PER_S, now_ms)
 
@@ -71,7 +75,7 @@
     ) -> None:
         """Send a message, or drop it if the budget is used up."""
         link = self._links.get(address)
-        if link is not None and self._is_silent(address, message):
+        if link is not None and self._is_silent(address, message, now_ms):
             link.mark_lost('silent')
             link = None
         if link is None:
@@ -127,13 +131,21 @@
             self._unanswered.pop(link.address, None)
             self._counters.links_lost.labels(f'control_{loss.reason}').inc()
 
-    def _is_silent(self, address: str, message: messages.Message) -> bool:
-        """Count a message; return True if too many are unanswered."""
+    def _is_silent(
+        self, address: str, message: messages.Message, now_ms: float
+    ) -> bool:
+        """Count a message; return True if too many are unanswered.
+
+        Messages that follow each other closely count once, since an answer
+        takes a round trip.
+        """
         if not isinstance(message, _ANSWERED_TYPES):
             return False
-        count = self._unanswered.get(address, 0) + 1
-        self._unanswered[address] = count
-        return count > MAX_UNANSWERED
+        count, counted_ms = self._unanswered.get(address, (0, -math.inf))
+        if now_ms - counted_ms < MIN_ANSWER_MS:
+            return False
+        self._unanswered[address] = (count + 1, now_ms)
+        return count + 1 > MAX_UNANSWERED
 
     def _close_least_recently_used(self) -> None:
         while len(self._links) > MAX_LINKS:
