Do not call a request not run while another attempt is pending

What callers saw: a 503, which promises "not run", for an idempotent request that had run at one upstream.

Cause: the ingress node was paused. After it resumed, the refusal of a hedge was handled past the deadline, when a request no longer waits for its other attempt, and that refusal became the verdict. Traced by the id: 711 and 712 at the sidecar of attempt 1 (answered 200), 701 only for attempt 2 (not connected), 702 with the outcome not-run and 4 s past the deadline.

Ruled out: a request that is not idempotent, which is not hedged, so none of its attempts is pending beside another.

Now the pending attempts are cancelled and their results decide; without them the request may have run. test_late_refusal_of_a_hedge_hid_an_attempt_that_ran failed before.

--- a/bench/virtual_time.py
+++ b/bench/virtual_time.py
@@ -32,6 +32,10 @@
         """Return the virtual time in seconds."""
         return self._time_selector.now_s
 
+    def skip(self, seconds: float) -> None:
+        """Advance the time without running tasks, as while paused."""
+        self._time_selector.now_s += seconds
+
     def now_ms(self) -> float:
         """Return the virtual time in milliseconds."""
         return self._time_selector.now_s * 1_000
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -219,16 +219,19 @@
                 now_ms,
             )
             if action is policy.Action.RETURN:
-                return self._final_result(progress, result)
+                return await self._final_result(progress, result)
             if not await self._retry(progress, result):
-                return self._final_result(progress, result)
+                return await self._final_result(progress, result)
 
-    def _final_result(
+    async def _final_result(
         self, progress: _RequestProgress, result: verdict.Verdict
     ) -> verdict.Verdict:
-        # An earlier attempt may have run even if the last one did not.
-        if result.outcome is verdict.Outcome.NOT_RUN and progress.possibly_run:
-            result = progress.possibly_run
+        if result.outcome is verdict.Outcome.NOT_RUN:
+            # Another attempt may have run even if the last one did not.
+            if progress.possibly_run:
+                result = progress.possibly_run
+            elif progress.pending_attempts:
+                result = await self._time_out(progress)
         if result.answer is not None and verdict.is_failure(result):
             return verdict.answered(policy.mark_final(result.answer))
         return result
--- a/tests/test_ingress/test_dispatcher.py
+++ b/tests/test_ingress/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 
 from jasminebeam.ingress import dispatcher
@@ -81,6 +82,27 @@
     assert result.answer.status == 500
 
 
+def test_late_refusal_of_a_hedge_hid_an_attempt_that_ran(cluster):
+    """A node that was paused must not take the other attempt for not run."""
+    slow = cluster.add('u0')
+    slow.upstream.blocked = asyncio.Event()
+    other = cluster.add('other')
+    other.upstream.behaviour = 'shed'
+    other.faults.hold_answers = True
+    cluster.routes.get_or_create_state('u0').round_trip_ms = 1.0
+    cluster.routes.get_or_create_state('other').round_trip_ms = 200.0
+    call = cluster.call('GET')
+    task = cluster.send(call)
+    cluster.run(1.0)
+    assert other.held_answers
+    # The process does not run until after the deadline.
+    cluster.loop.skip(5.0)
+    other.release_answers()
+    result = cluster.result(task)
+    assert cluster.runs(call.request_id) == 1
+    assert result.outcome is verdict.Outcome.MAY_HAVE_RUN
+
+
 def test_lost_hosts_do_not_use_up_the_retry_budget(cluster):
     """An attempt that was never sent must be rerouted.
 
