--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -265,6 +265,7 @@
         # Time at which the store last answered a member.
         self.contact_s = None
         self._ranked = {}
+        self._ranks = {}
 
     def ranked(self, domain):
         """Return the nodes of a domain in the order of their ranks."""
@@ -276,9 +277,19 @@
             )
         return self._ranked[domain]
 
+    def rank_of(self, node):
+        """Return the rank of a node in its domain."""
+        if node.domain not in self._ranks:
+            self._ranks[node.domain] = {
+                ranked: rank
+                for rank, ranked in enumerate(self.ranked(node.domain))
+            }
+        return self._ranks[node.domain][node]
+
     def on_change(self):
         """Forget the ranking, and tell the members of a loss."""
         self._ranked.clear()
+        self._ranks.clear()
         for member in self.members:
             member.delegate_lost.set()
 
@@ -287,6 +298,7 @@
         self.members.discard(node)
         self.addresses.discard(node.address)
         self._ranked.clear()
+        self._ranks.clear()
 
     def merge(self, other):
         """Take over the members and the routes of another group."""
@@ -294,6 +306,7 @@
             member.group = self
         self.members |= other.members
         self._ranked.clear()
+        self._ranks.clear()
         self.addresses |= other.addresses
         self.revision = max(self.revision, other.revision)
 
@@ -354,7 +367,7 @@
 
     def watch_rank(self):
         """Return the rank of the node among the known members."""
-        return self.group.ranked(self.domain).index(self)
+        return self.group.rank_of(self)
 
     def precedes(self, node_id):
         """Return True if another node of the domain has a lower rank."""
@@ -378,9 +391,13 @@
         age_ms = 0 if answered else -1
         report = messages.WatchReport(self.node_id, age_ms, 0)
         self._record(report)
+        if not self.is_isolated:
+            self.fleet.loop.call_later(PUSH_DELAY_S, self._spread, report)
+
+    def _spread(self, report):
         for node in self.group.ranked(self.domain):
-            if node is not self and not self.is_isolated:
-                self.fleet.loop.call_later(PUSH_DELAY_S, node._record, report)
+            if node is not self:
+                node._record(report)
 
     def _record(self, report):
         if self.up:
