--- a/jasminebeam/configuration/watch_keeper.py
+++ b/jasminebeam/configuration/watch_keeper.py
@@ -65,7 +65,11 @@
 
 
 class Reporter(typing.Protocol):
-    """Part of the membership task that the keeper uses."""
+    """Part of the membership task that the keeper uses.
+
+    The node of a domain with the highest rendezvous weight has rank 0; a lower
+    rank watches before a higher one.
+    """
 
     @property
     def watch_reports(self) -> watch_reports_module.WatchReports:
@@ -81,7 +85,7 @@
         """Return True if another node of the domain has a higher rank."""
 
     def watch_domain_size(self) -> int:
-        """Return the number of alive nodes of the own failure domain."""
+        """Return the number of nodes of the domain, suspected ones too."""
 
     @property
     def is_first_domain(self) -> bool:
@@ -174,7 +178,8 @@
     def _silence_ms(self, rank: int, now_ms: float) -> float:
         """Return the time without a report since this node may watch.
 
-        The first node of a domain need not wait for reports of others.
+        Before, reports may not have reached it. The first node of a domain
+        need not wait for reports of others.
         """
         age_ms = self._report_age_ms(rank, now_ms)
         if rank == 0:
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -168,7 +168,7 @@
         return delegates.precedes(local.node_id, node_id, local.failure_domain)
 
     def watch_domain_size(self) -> int:
-        """Return the number of nodes of the own failure domain."""
+        """Return the number of nodes of the domain, suspected ones too."""
         return self._state.members.active_in(self.local_member.failure_domain)
 
     @property
--- a/jasminebeam/membership/watch_reports.py
+++ b/jasminebeam/membership/watch_reports.py
@@ -103,10 +103,10 @@
         }
 
     def _record_attempt(self, node_id: str, now_ms: float) -> bool:
-        newer = now_ms - self._attempts.get(node_id, -math.inf)
+        advance_ms = now_ms - self._attempts.get(node_id, -math.inf)
         self._attempts[node_id] = now_ms
         self._forget(now_ms)
-        return newer >= MIN_ADVANCE_MS
+        return advance_ms >= MIN_ADVANCE_MS
 
     def _forget(self, now_ms: float) -> None:
         self._watchers = {
