Send unique ids until a test's second upstream has run a request

A whole run of the tests did not end: after 608 tests one thread took a core for over 7 minutes, and the dump named write_problem of platform/callers.py.

Cause: the test used the text of a counter of former ids as the next id. It grows with each request that goes to the first upstream (beyond 8,000 characters after a few), until the node refuses the header, so no request reaches the second upstream, and the loop had no bound.

Ruled out: a caller's connection that answers without end; each answer belonged to a request of the test. The loop now has unique ids and a bound of 5 s; what the test checks is unchanged.

--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -337,8 +338,10 @@
         cluster.upstreams[index].leaving = index == 1
     other = cluster.nodes[0]
     await cluster.wait_until(lambda: len(other.routes.members_of('fees')) == 2)
-    while not cluster.upstreams[1].runs:
-        await cluster.send_request(request_id=f'{cluster.upstreams[0].runs}')
+    numbers = itertools.count()
+    async with asyncio.timeout(5.0):
+        while not cluster.upstreams[1].runs:
+            await cluster.send_request(request_id=f'first-{next(numbers)}')
     cluster.upstreams[1].leaving = False
     await cluster.nodes.pop().stop()
     restarted = await cluster.start_node(cluster.settings[1])
