--- a/jasminebeam/platform/adapter.py
+++ b/jasminebeam/platform/adapter.py
@@ -125,11 +125,7 @@
             node.generator,
             node.log,
         )
-        return [
-            watcher.run,
-            watcher.keep_watch,
-            watcher.read_missing_routes,
-        ]
+        return [watcher.run, watcher.keep_watch, watcher.read_missing_routes]
 
     def replace(self, loaded: settings.PlatformSettings) -> None:
         """Apply those changed settings that need no restart."""
