--- a/jasminebeam/inputs.py
+++ b/jasminebeam/inputs.py
@@ -22,6 +22,7 @@
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 DurationMs = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 # Milliseconds since the epoch; 0 if unknown.
 WallMs = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_WALL_MS)]
--- a/jasminebeam/model/requests.py
+++ b/jasminebeam/model/requests.py
@@ -47,6 +47,9 @@
         and service times separately for each route.
     revision : int
         Revision of the configuration that the route comes from.
+    team : str
+        Name of the team whose key the request carries; empty if there is
+        none.
     """
 
     request_id: str
@@ -63,6 +66,7 @@
     priority: int = 255
     route: str = ''
     revision: int = 0
+    team: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jasminebeam/model/routes.py
+++ b/jasminebeam/model/routes.py
@@ -5,7 +5,10 @@
 import dataclasses
 import typing
 
+import msgspec
+
 from jasminebeam.model import services as service_model
+from jasminebeam.model import teams as team_model
 
 # Maximum number of attempts of a request whose route sets none.
 DEFAULT_MAX_ATTEMPTS = 4
@@ -52,6 +55,15 @@
         Maximum number of upstreams that one request may be sent to.
     priority : int
         Priority under overload; 0 is served first.
+    public : bool
+        True if callers need no key although there are teams.
+    allowed_regions : tuple of str
+        Regions in which the requests may be served; empty for all.
+
+    Notes
+    -----
+    Messages between nodes leave out the fields that are unset, so that they
+    cost nothing where operators do not use them.
     """
 
     name: str
@@ -63,6 +75,28 @@
     objective_ms: int = 0
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     priority: int = LOWEST_PRIORITY
+    public: bool | msgspec.UnsetType = msgspec.UNSET
+    allowed_regions: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdStart:
+    """What the upstreams of a service tolerate while they are cold.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    duration_ms : int
+        Time for which an upstream is cold after its start.
+    per_s : float
+        Requests a second that a cold upstream tolerates from all nodes
+        together.
+    """
+
+    service: str
+    duration_ms: int
+    per_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +135,14 @@
         Name of each service and path of its health check.
     limits : CallerLimits
         Limits for callers.
+    teams : tuple of Team
+        Teams whose keys requests must carry, except on public routes.
+    cold_starts : tuple of ColdStart
+        Services whose upstreams tolerate little while they are cold.
+
+    Notes
+    -----
+    Messages between nodes leave out the fields that are unset.
     """
 
     revision: int
@@ -108,6 +150,8 @@
     services: tuple[service_model.Service, ...]
     health_paths: tuple[tuple[str, str], ...] = ()
     limits: CallerLimits = CallerLimits()
+    teams: tuple[team_model.Team, ...] | msgspec.UnsetType = msgspec.UNSET
+    cold_starts: tuple[ColdStart, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jasminebeam/platform/configuration.py
+++ b/jasminebeam/platform/configuration.py
@@ -10,6 +10,7 @@
 from jasminebeam import inputs
 from jasminebeam.model import routes
 from jasminebeam.model import services
+from jasminebeam.model import teams
 
 # Values of a rule's `kind` if its requests may run more than once.
 _IDEMPOTENT_KINDS = ('safe', 'download')
@@ -40,6 +41,8 @@
     # Latency objective; 0 if unset.
     aim_ms: inputs.DurationMs = 0
     priority: inputs.Count = routes.LOWEST_PRIORITY
+    public: bool = False
+    allowed_regions: tuple[inputs.Name, ...] = ()
 
 
 class _Listener(msgspec.Struct, frozen=True):
@@ -55,6 +58,20 @@
         str, msgspec.Meta(pattern=r'^(/[!-~]*)?\Z')
     ] = ''
     max_connections: inputs.Count = 0
+    cold_start_s: inputs.Rate = 0.0
+    cold_per_s: inputs.Rate = 0.0
+
+
+# The platform calls a team a tenant.
+class _Tenant(msgspec.Struct, frozen=True, rename='camel'):
+    name: inputs.Name
+    api_keys: tuple[
+        typing.Annotated[str, msgspec.Meta(min_length=1)], ...
+    ] = ()
+    priority: inputs.Count = teams.DEFAULT_PRIORITY
+    rate_per_s: inputs.Rate = 0.0
+    burst: inputs.Rate = 0.0
+    allowed_regions: tuple[inputs.Name, ...] = ()
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
@@ -72,6 +89,7 @@
     listeners: tuple[_Listener, ...]
     clusters: tuple[_Cluster, ...]
     limits: _Limits | None = None
+    tenants: tuple[_Tenant, ...] = ()
 
 
 class Decoder:
@@ -108,6 +126,18 @@
                 for cluster in document.clusters
             ),
             limits=_limits(document.limits),
+            teams=tuple(_team(tenant) for tenant in document.tenants)
+            or msgspec.UNSET,
+            cold_starts=tuple(
+                routes.ColdStart(
+                    cluster.name,
+                    round(cluster.cold_start_s * 1_000),
+                    cluster.cold_per_s,
+                )
+                for cluster in document.clusters
+                if cluster.cold_per_s
+            )
+            or msgspec.UNSET,
         )
 
 
@@ -126,6 +156,19 @@
         objective_ms=int(rule.aim_ms),
         max_attempts=action.max_attempts,
         priority=rule.priority,
+        public=rule.public or msgspec.UNSET,
+        allowed_regions=rule.allowed_regions or msgspec.UNSET,
+    )
+
+
+def _team(tenant: _Tenant) -> teams.Team:
+    return teams.Team(
+        name=tenant.name,
+        key_digests=tuple(teams.digest(key) for key in tenant.api_keys),
+        priority=tenant.priority,
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+        allowed_regions=tenant.allowed_regions,
     )
 
 
--- a/tests/test_platform/test_route_sets.py
+++ b/tests/test_platform/test_route_sets.py
@@ -7,6 +7,8 @@
 import pytest
 
 from jasminebeam.configuration import routes as route_sets
+from jasminebeam.model import routes
+from jasminebeam.model import teams
 from jasminebeam.peering import codec
 from jasminebeam.peering import messages
 from jasminebeam.peering import sockets
@@ -89,3 +91,45 @@
     document = _document(2)
     document['listeners'][0]['rules'][0] |= changes
     assert len(_decode(document).routes) == 2
+
+
+def test_sets_without_teams_grew():
+    """A configuration without teams and cold rates costs no further byte."""
+    frame = codec.encode(messages.RoutesReply(_decode(_document(1))))
+    for name in (b'teams', b'cold_starts', b'public', b'allowed_regions'):
+        assert name not in frame
+
+
+def test_keys_left_the_node():
+    """Other nodes receive digests of the keys of teams, never the keys."""
+    document = _document(1)
+    document['listeners'][0]['rules'][0] |= {
+        'public': True,
+        'allowedRegions': ['r'],
+    }
+    document['clusters'][0] |= {'coldStartS': 3.0, 'coldPerS': 4.9}
+    document['tenants'] = [
+        {
+            'name': 'red',
+            'apiKeys': ['secret-1', 'secret-2'],
+            'priority': 2,
+            'ratePerS': 108,
+            'burst': 54,
+        }
+    ]
+    found = _decode(document)
+    assert found.teams == (
+        teams.Team(
+            'red',
+            (teams.digest('secret-1'), teams.digest('secret-2')),
+            priority=2,
+            rate_per_s=108,
+            burst=54,
+        ),
+    )
+    assert found.cold_starts == (routes.ColdStart('s0', 3_000, 4.9),)
+    assert found.routes[0].public
+    assert found.routes[0].allowed_regions == ('r',)
+    frame = codec.encode(messages.RoutesReply(found))
+    assert b'secret' not in frame
+    assert codec.decode(frame).unwrap() == messages.RoutesReply(found)
