Split the sidecar into modules with one job

- execution.py: admission of accepted requests, their runs and results
- active_requests.py: requests in progress and claimed idempotency keys
- slowness_polling.py: polling of the host's slowness, and what waits for it
- local_upstream.py: upstream in service, suspension, readiness, health
- ingress_replies.py: replies, notices and refusals to ingress nodes
- limits.py: limits of queue and state

No change of behaviour. Two tests reach into the moved members; what they check is unchanged.

--- a/tests/test_platform/test_callers.py
+++ b/tests/test_platform/test_callers.py
@@ -41,7 +41,7 @@
     request has already done.
     """
     node = await cluster.add_host()
-    node.sidecar._running.add('parent')
+    node.sidecar._execution.running.add('parent')
     assert await _forwarded_priorities(cluster, 'parent.1') == [
         routes.NESTED_PRIORITY
     ]
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -113,12 +113,12 @@
     tested.attach(upstreams.Announcement('fees', 1, 9), failing)
     tested.on_report(upstreams.LoadReport(0, 0, 9, slowness=1.0))
     answered = []
-    tested._answer_query = lambda *_: answered.append(True)
-    tested._pending_queries = [(None, None, 0.0)]
+    tested._execution.answer_query = lambda *_: answered.append(True)
+    tested._polling._queries = [(None, None, 0.0)]
 
     async def poll():
         await asyncio.sleep(1.0)
-        tested._start_polling()
+        tested._polling.start()
         await asyncio.sleep(1.0)
 
     loop.run_until_complete(poll())
@@ -154,7 +154,7 @@
     task = asyncio.ensure_future(fail())
     await asyncio.wait([task])
     with log.subscribe(records):
-        result = tested._result_of(task)
+        result = tested._execution.result_of(task)
     assert result.outcome is verdict.Outcome.MAY_HAVE_RUN
     assert "KeyError('bug')" in records.get_nowait().fields['error']
 
