Break the circle between the node and its adapters

adapters.py imported the node for its types, and the node imported it for the native adapter. The interfaces now name the part of a node that an adapter uses, and the native adapter is a module of its own. No change of behaviour.

--- a/jasminebeam/adapters.py
+++ b/jasminebeam/adapters.py
@@ -1,26 +1,70 @@
-"""Interface of the adapters of a node, and the native adapter."""
+"""Interfaces between a node and its adapters."""
 
 from __future__ import annotations
 
-import asyncio
-import functools
-import ssl
 import typing
 
-from jasminebeam.callers import dialect as caller_dialect
-from jasminebeam.configuration import relay
-from jasminebeam.store import null
-from jasminebeam.upstreams import announcements
-from jasminebeam.upstreams import dialect as upstream_dialect
-
 if typing.TYPE_CHECKING:
+    import random
+
+    from jasminebeam.callers import dialect as callers
+    from jasminebeam.configuration import directory
+    from jasminebeam.configuration import routes as routes_in_force
+    from jasminebeam.membership import task as membership_task
     from jasminebeam.model import routes
     from jasminebeam.model import upstreams
-    from jasminebeam import node as node_module
-    from jasminebeam import settings as settings_module
+    from jasminebeam.routing import table
     from jasminebeam.store import store
     from jasminebeam import supervision
+    from jasminebeam.telemetry import events
     from jasminebeam.telemetry import metrics
+    from jasminebeam.upstreams import dialect
+    from jasminebeam.upstreams import lifecycle
+
+
+class Node(typing.Protocol):
+    """Part of a node that its adapter uses.
+
+    Parameters
+    ----------
+    services, route_sets
+        Services and routes in force.
+    membership : MembershipTask
+        Members of the fleet.
+    routes : RoutingTable
+        Upstreams and their load.
+    generator : random.Random
+        Source of jitter.
+    metrics, log
+        Counters and event log of the node.
+    """
+
+    services: directory.ServiceDirectory
+    route_sets: routes_in_force.RouteDirectory
+    membership: membership_task.MembershipTask
+    routes: table.RoutingTable
+    generator: random.Random
+    metrics: metrics.Metrics
+    log: events.EventLog
+
+    @property
+    def ready(self) -> bool:
+        """True while callers should send their requests to this node."""
+
+    def is_relay_candidate(self) -> bool:
+        """Return True if this node should be a relay of its domain."""
+
+    def attach_upstream(self, announcement: upstreams.Announcement) -> None:
+        """Put the local upstream into service."""
+
+    def drain_upstream(self) -> int:
+        """Start draining; return the number of requests in flight."""
+
+    def on_heartbeat(self, heartbeat: lifecycle.Heartbeat) -> None:
+        """Process a heartbeat of the local upstream."""
+
+    def on_upstream_leave(self, upstream_id: str, started_ms: int) -> None:
+        """Process a leave notice of the local upstream."""
 
 
 class Server(typing.Protocol):
@@ -41,19 +85,17 @@
     """
 
     @property
-    def caller_dialect(self) -> caller_dialect.CallerDialect:
+    def caller_dialect(self) -> callers.CallerDialect:
         """Translator of the requests and verdicts of callers."""
 
     @property
-    def upstream_dialect(self) -> upstream_dialect.UpstreamDialect:
+    def upstream_dialect(self) -> dialect.UpstreamDialect:
         """Translator of the requests and answers of the upstream."""
 
-    def matcher(self, node: node_module.Node) -> routes.Matcher:
+    def matcher(self, node: Node) -> routes.Matcher:
         """Return the matcher of requests to services."""
 
-    def configured_upstream(
-        self, node: node_module.Node
-    ) -> upstreams.Announcement | None:
+    def configured_upstream(self, node: Node) -> upstreams.Announcement | None:
         """Return the announcement of an upstream that the settings name.
 
         The result is None if the node must wait until the upstream
@@ -63,157 +105,13 @@
     def create_store(self, counters: metrics.Metrics) -> store.Store:
         """Return the store that holds the configuration."""
 
-    def create_servers(self, node: node_module.Node) -> list[Server]:
+    def create_servers(self, node: Node) -> list[Server]:
         """Return all servers except the one for callers."""
 
     def create_tasks(
-        self, node: node_module.Node, backend: store.Store
+        self, node: Node, backend: store.Store
     ) -> list[supervision.Start]:
         """Return the functions that load the configuration into the node.
 
         The node runs each as a background task and restarts it on failure.
         """
-
-
-class NativeAdapter:
-    """Native adapter: HTTP for callers, an etcd store, gRPC for operators.
-
-    Parameters
-    ----------
-    settings : Settings
-        Checked settings.
-    """
-
-    caller_dialect = caller_dialect.NativeDialect()
-    upstream_dialect = upstream_dialect.NativeDialect()
-
-    def __init__(self, settings: settings_module.Settings) -> None:
-        self._settings = settings
-        self._backend: store.Store | None = None
-
-    def matcher(self, node: node_module.Node) -> routes.Matcher:
-        """Return the directory of the services in force."""
-        return node.services
-
-    def configured_upstream(self, node: node_module.Node) -> None:
-        """Return None: an upstream always announces itself."""
-
-    def create_store(self, counters: metrics.Metrics) -> store.Store:
-        """Return the etcd store, or one that is never available."""
-        platform = self._settings.platform
-        if not platform.endpoint:
-            self._backend = null.NullStore()
-            return self._backend
-        # Local import: nodes without this store need none of its modules.
-        from jasminebeam.store import etcd
-
-        self._backend = etcd.EtcdStore(
-            platform.endpoint, platform.timeout_ms, counters
-        )
-        return self._backend
-
-    def create_servers(self, node: node_module.Node) -> list[Server]:
-        """Return the servers for announcements and for operators."""
-        announcement_server = announcements.AnnouncementServer(
-            node, node.metrics, self._settings.upstream.announce_port
-        )
-        return [
-            announcement_server,
-            _OperatorServer(node, self._settings, self._backend),
-        ]
-
-    def create_tasks(
-        self, node: node_module.Node, backend: store.Store
-    ) -> list[supervision.Start]:
-        """Return the tasks of the initial load and of the relay.
-
-        Without a store, the list is empty.
-        """
-        platform = self._settings.platform
-        if not platform.endpoint:
-            return []
-        node_section = self._settings.node
-        store_relay = relay.Relay(
-            backend,
-            relay.Options(
-                node_section.failure_domain,
-                node.membership.local_member.address,
-                platform.relays_per_domain,
-                platform.lease_s,
-            ),
-            node.is_relay_candidate,
-            node.membership.adopt_revision,
-            node.generator,
-            node.log,
-        )
-        bootstrap = functools.partial(_bootstrap, node, backend, store_relay)
-        return [bootstrap, store_relay.run]
-
-
-async def _bootstrap(
-    node: node_module.Node, backend: store.Store, store_relay: relay.Relay
-) -> None:
-    """Load seeds and services from the store once, retrying on failure."""
-    while True:
-        seeds = await relay.read_seeds(backend)
-        node.membership.add_seeds(seeds)
-        if await store_relay.load_services():
-            return
-        await asyncio.sleep(relay.RETRY_MAX_S * node.generator.random())
-
-
-class _OperatorServer:
-    """gRPC server for operators."""
-
-    def __init__(
-        self,
-        node: node_module.Node,
-        settings: settings_module.Settings,
-        backend: store.Store,
-    ) -> None:
-        self._node = node
-        self._settings = settings
-        self._backend = backend
-
-    async def start(self) -> None:
-        """Start listening for operators."""
-        # Local imports: nodes without this server need none of its modules.
-        from grpclib import server as grpc_server
-
-        from jasminebeam import clock
-        from jasminebeam.configuration import changes
-        from jasminebeam.operators import service
-
-        node = self._node
-        handler = service.OperatorsService(
-            changes.ServiceEditor(self._backend),
-            node.services,
-            node.membership,
-            node.routes,
-            node,
-            node.log,
-            clock.monotonic_ms,
-        )
-        self._server = grpc_server.Server([handler])
-        await self._server.start(
-            self._settings.node.host,
-            self._settings.operators.port,
-            ssl=self._tls(),
-        )
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        self._server.close()
-        await self._server.wait_closed()
-
-    def _tls(self) -> ssl.SSLContext | None:
-        operators = self._settings.operators
-        if not operators.tls_certificate:
-            return None
-        context = ssl.create_default_context(
-            ssl.Purpose.CLIENT_AUTH, cafile=operators.tls_client_ca
-        )
-        context.verify_mode = ssl.CERT_REQUIRED
-        context.load_cert_chain(operators.tls_certificate, operators.tls_key)
-        context.set_alpn_protocols(['h2'])
-        return context
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -24,6 +24,7 @@
 from jasminebeam.membership import task as membership_task
 from jasminebeam.model import routes as routes_model
 from jasminebeam.model import upstreams
+from jasminebeam import native_adapter
 from jasminebeam.peering import control
 from jasminebeam.peering import messages
 from jasminebeam.peering import pool
@@ -96,7 +97,7 @@
         adapter: adapters_module.NodeAdapter | None = None,
     ) -> None:
         self._settings = settings
-        self._adapter = adapter or adapters_module.NativeAdapter(settings)
+        self._adapter = adapter or native_adapter.NativeAdapter(settings)
         node_section = settings.node
         self.metrics = metrics.Metrics()
         self.log = events.EventLog(node_section.node_id, self.metrics)
--- a/jasminebeam/platform/adapter.py
+++ b/jasminebeam/platform/adapter.py
@@ -22,7 +22,6 @@
 
 if typing.TYPE_CHECKING:
     from jasminebeam.model import routes
-    from jasminebeam import node as node_module
     from jasminebeam.store import store as store_module
     from jasminebeam import supervision
     from jasminebeam.telemetry import metrics
@@ -54,12 +53,12 @@
         self._settings = loaded
         self.caller_dialect = callers.PlatformCallerDialect(self._service)
 
-    def matcher(self, node: node_module.Node) -> routes.Matcher:
+    def matcher(self, node: adapters.Node) -> routes.Matcher:
         """Return the directory of route sets, which matches requests."""
         return node.route_sets
 
     def configured_upstream(
-        self, node: node_module.Node
+        self, node: adapters.Node
     ) -> upstreams_model.Announcement | None:
         """Return the upstream in the settings; None without a health path."""
         adapter = self._settings.adapter
@@ -82,7 +81,7 @@
             adapter.store, adapter.store_timeout_ms, counters
         )
 
-    def create_servers(self, node: node_module.Node) -> list[adapters.Server]:
+    def create_servers(self, node: adapters.Node) -> list[adapters.Server]:
         """Return all servers except the one for callers."""
         adapter = self._settings.adapter
         announcements = inputs.parse_address(adapter.announcements)
@@ -104,7 +103,7 @@
         ]
 
     def create_tasks(
-        self, node: node_module.Node, backend: store_module.Store
+        self, node: adapters.Node, backend: store_module.Store
     ) -> list[supervision.Start]:
         """Return the tasks that watch the routes and register as a seed."""
         local = seeds.local_node(node.membership.local_member)
--- a/jasminebeam/platform/servers.py
+++ b/jasminebeam/platform/servers.py
@@ -15,7 +15,7 @@
 from jasminebeam.upstreams import lifecycle
 
 if typing.TYPE_CHECKING:
-    from jasminebeam import node as node_module
+    from jasminebeam import adapters
 
 _HEARTBEAT_STATES = ('ready', 'draining')
 
@@ -59,7 +59,7 @@
         Node that acts on the decoded messages.
     """
 
-    def __init__(self, node: node_module.Node) -> None:
+    def __init__(self, node: adapters.Node) -> None:
         self._node = node
         path = wire.HEARTBEATS_PATH + '{upstream_id}'
         self.routes = [
@@ -125,7 +125,7 @@
         return web.json_response({'error': cause}, status=400)
 
 
-def readiness(node: node_module.Node) -> web.RouteDef:
+def readiness(node: adapters.Node) -> web.RouteDef:
     """Return the route for readiness checks."""
 
     async def answer(request: web.Request) -> web.Response:
@@ -134,7 +134,7 @@
     return web.get(wire.READINESS_PATH, answer)
 
 
-def metrics(node: node_module.Node) -> web.RouteDef:
+def metrics(node: adapters.Node) -> web.RouteDef:
     """Return the route from which Prometheus scrapes the metrics."""
 
     async def answer(request: web.Request) -> web.Response:
