Wait until the upstream is attached before comparing it

test_heartbeat_of_another_writer_replaced_the_upstream failed in one whole run and in one of three runs of its file, both at a load of about 9: the upstream compared with was None. A node that has just started answers a heartbeat at once and attaches the upstream after a health check, so the test read the former value too early on a busy machine. The comparison is unchanged.

--- a/tests/test_platform/test_adapter.py
+++ b/tests/test_platform/test_adapter.py
@@ -200,6 +200,8 @@
     Without a start it seemed to be one of a later upstream.
     """
     created = await cluster.add_host()
+    # A node that has just started attaches it after a health check.
+    await cluster.wait_until(lambda: created.sidecar.announcement)
     before = created.sidecar.announcement
     document = cluster.upstreams[0].heartbeat('ready', 2, 9)
     fields = document[section] if section else document
