--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import dataclasses
-import math
 import typing
 
 from jasminebeam.model import requests
+from jasminebeam.peering import calls
 from jasminebeam.peering import links
 from jasminebeam.peering import messages
 from jasminebeam.telemetry import events
@@ -225,17 +225,8 @@
         return query.reply
 
     def _send_query(self, nonce: int, query: _Query) -> None:
-        call = query.call
-        now_ms = self._clock()
         self._link.send(
-            messages.AdmissionQuery(
-                nonce,
-                call.service,
-                call.route,
-                call.priority,
-                int((call.deadline_ms - now_ms) * 1_000),
-                _time_left_us(call.objective_ms, now_ms),
-            )
+            calls.admission_query(query.call, nonce, self._clock())
         )
 
     def connect(self) -> None:
@@ -307,32 +298,17 @@
 
     def _transmit(self, attempt: Attempt, now_ms: float) -> None:
         link = self._link
-        call = attempt.call
         attempt.boot_id = link.boot_id
         attempt.session = link.session
         attempt.sequence = link.next_sequence()
         attempt.sent_ms = now_ms
         request_id = (attempt.session, attempt.sequence)
         self._sent[request_id] = attempt
+        identity = calls.RequestIdentity(
+            attempt.boot_id, attempt.session, attempt.sequence
+        )
         sent_bytes = link.send(
-            messages.Request(
-                boot_id=attempt.boot_id,
-                session=attempt.session,
-                sequence=attempt.sequence,
-                time_left_us=int((call.deadline_ms - now_ms) * 1_000),
-                max_wait_us=int(attempt.max_wait_ms * 1_000),
-                request_id=call.request_id,
-                service=call.service,
-                method=call.method,
-                target=call.target,
-                headers=call.headers,
-                body=call.body,
-                idempotent=call.idempotent,
-                key=call.key,
-                priority=call.priority,
-                route=call.route,
-                objective_left_us=_time_left_us(call.objective_ms, now_ms),
-            )
+            calls.request(attempt.call, identity, attempt.max_wait_ms, now_ms)
         )
         if not sent_bytes:
             self._sent.pop(request_id, None)
@@ -486,10 +462,3 @@
         self._recovering.pop((attempt.session, attempt.sequence), None)
         self._counters.revocations.labels('unknown').inc()
         attempt.resolve(verdict.may_have_run(verdict.Reason.SIDECAR_LOST))
-
-
-def _time_left_us(instant_ms: float, now_ms: float) -> int:
-    """Return the time until an instant; 0 only if the instant is infinite."""
-    if math.isinf(instant_ms):
-        return 0
-    return int((instant_ms - now_ms) * 1_000) or -1
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -15,6 +15,7 @@
 from jasminebeam.admission import slots
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
+from jasminebeam.peering import calls
 from jasminebeam.peering import messages
 from jasminebeam.retries import idempotency
 from jasminebeam.retries import registry
@@ -470,7 +471,7 @@
                 received_ms + message.time_left_us / 1_000,
                 math.inf,
                 message.priority,
-                _objective_ms(message.objective_left_us, received_ms),
+                calls.objective_ms(message.objective_left_us, received_ms),
                 message.route,
             )
             slowness = self._host_speed.relative_slowness(now_ms)
@@ -501,7 +502,7 @@
             self._answer_from_state(request_id, state, send)
             return
         max_wait_ms = message.max_wait_us / 1_000
-        call = _call_from(message, now_ms)
+        call = calls.call_from(message, now_ms)
         active = _ActiveRequest(call, send, now_ms, max_wait_ms)
         self._active[request_id] = active
         self._idle.clear()
@@ -886,24 +887,3 @@
         return False
     starts_ms = {current.started_ms, other.started_ms} - {0}
     return len(starts_ms) < 2
-
-
-def _call_from(message: messages.Request, now_ms: float) -> requests.Call:
-    return requests.Call(
-        request_id=message.request_id,
-        service=message.service,
-        method=message.method,
-        target=message.target,
-        headers=message.headers,
-        body=message.body,
-        idempotent=message.idempotent,
-        deadline_ms=now_ms + message.time_left_us / 1_000,
-        key=message.key,
-        objective_ms=_objective_ms(message.objective_left_us, now_ms),
-        priority=message.priority,
-        route=message.route,
-    )
-
-
-def _objective_ms(left_us: int, now_ms: float) -> float:
-    return now_ms + left_us / 1_000 if left_us else math.inf
