--- a/jasminebeam/sidecar/active_requests.py
+++ b/jasminebeam/sidecar/active_requests.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import math
 import typing
 
 from jasminebeam.model import requests
@@ -13,7 +12,6 @@
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
-    from jasminebeam.peering import messages
     from jasminebeam.retries import registry
     from jasminebeam.sidecar import ingress_replies
 
@@ -139,26 +137,3 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self._has_active.wait()
-
-
-def call_from(message: messages.Request, now_ms: float) -> requests.Call:
-    """Return the call that a message carries."""
-    return requests.Call(
-        request_id=message.request_id,
-        service=message.service,
-        method=message.method,
-        target=message.target,
-        headers=message.headers,
-        body=message.body,
-        idempotent=message.idempotent,
-        deadline_ms=now_ms + message.time_left_us / 1_000,
-        key=message.key,
-        objective_ms=objective_ms(message.objective_left_us, now_ms),
-        priority=message.priority,
-        route=message.route,
-    )
-
-
-def objective_ms(left_us: int, now_ms: float) -> float:
-    """Return the instant of the objective; infinite if there is none."""
-    return now_ms + left_us / 1_000 if left_us else math.inf
--- a/jasminebeam/sidecar/execution.py
+++ b/jasminebeam/sidecar/execution.py
@@ -8,6 +8,7 @@
 import typing
 
 from jasminebeam.admission import slots
+from jasminebeam.peering import calls
 from jasminebeam.peering import messages
 from jasminebeam.retries import registry
 from jasminebeam.sidecar import active_requests
@@ -136,9 +137,7 @@
                 received_ms + message.time_left_us / 1_000,
                 math.inf,
                 message.priority,
-                active_requests.objective_ms(
-                    message.objective_left_us, received_ms
-                ),
+                calls.objective_ms(message.objective_left_us, received_ms),
                 message.route,
             )
             slowness = self._host_speed.relative_slowness(now_ms)
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -8,6 +8,7 @@
 from jasminebeam.admission import host_speed
 from jasminebeam.admission import slots
 from jasminebeam.model import upstreams
+from jasminebeam.peering import calls
 from jasminebeam.peering import messages
 from jasminebeam.retries import registry
 from jasminebeam.sidecar import active_requests
@@ -95,10 +96,12 @@
         self._handlers = {
             messages.Hello: self._on_hello,
             messages.Request: self._on_request,
+            messages.TeamRequest: self._on_request,
             messages.Cancel: self._on_cancel,
             messages.Revoke: self._on_revoke,
             messages.Probe: self._on_probe,
             messages.AdmissionQuery: self._execution.on_query,
+            messages.TeamAdmissionQuery: self._execution.on_query,
             messages.Ping: self._on_ping,
             messages.UpstreamNotice: self._on_upstream_notice,
         }
@@ -340,7 +343,7 @@
             self._execution.answer_from_state(request_id, state, send)
             return
         max_wait_ms = message.max_wait_us / 1_000
-        call = active_requests.call_from(message, now_ms)
+        call = calls.call_from(message, now_ms)
         active = active_requests.ActiveRequest(call, send, now_ms, max_wait_ms)
         self._execution.accept(request_id, active, now_ms)
 
