Split the gossip state machine into modules with one job

Effects, options, the choice of partners, the spread of route sets and the replies of anti-entropy are modules of their own now; behaviour and random choices are unchanged.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,9 @@
 from jasminebeam import clock
 from jasminebeam.configuration import directory
 from jasminebeam.configuration import routes
+from jasminebeam.membership import anti_entropy
 from jasminebeam.membership import gossip
+from jasminebeam.membership import options
 from jasminebeam.membership import table as member_table
 from jasminebeam.model import requests
 from jasminebeam.model import services
@@ -89,7 +91,7 @@
         routes.RouteDirectory(random.Random(1)),
         (),
         random.Random(1),
-        gossip.Options(),
+        options.Options(),
     )
     for index in range(1, node_count):
         state.members.merge(create_member(index), 0.0)
@@ -232,10 +234,12 @@
     frames = [
         codec.encode(
             messages.Sync(
-                members=records[start : start + gossip.SYNC_CHUNK_RECORDS]
+                members=records[
+                    start : start + anti_entropy.SYNC_CHUNK_RECORDS
+                ]
             )
         )
-        for start in range(0, len(records), gossip.SYNC_CHUNK_RECORDS)
+        for start in range(0, len(records), anti_entropy.SYNC_CHUNK_RECORDS)
     ]
     encode_ms = (time.process_time() - started_s) * 1_000
     joiner = create_gossip(1)
--- /dev/null
+++ b/jasminebeam/membership/route_spread.py
@@ -0,0 +1,89 @@
+"""Spread of the route set in force from node to node."""
+
+from __future__ import annotations
+
+import typing
+
+from jasminebeam.peering import messages
+
+if typing.TYPE_CHECKING:
+    from jasminebeam.configuration import routes as routes_module
+    from jasminebeam.membership import effects as effects_module
+    from jasminebeam.model import routes
+
+# Revisions not yet in force whose first announcers are remembered.
+MAX_ANNOUNCED_REVISIONS = 64
+
+# Sources of a route set that are no node.
+STORE_SOURCE = 'store'
+PEER_SOURCE = 'peer'
+
+
+class RouteSpread:
+    """Asks peers for newer route sets and answers such queries.
+
+    Parameters
+    ----------
+    in_force : RouteDirectory
+        Route set in force; received sets are applied to it.
+    """
+
+    def __init__(self, in_force: routes_module.RouteDirectory) -> None:
+        self._in_force = in_force
+        # First node that announced each revision newer than that in force.
+        self._announcers: dict[int, str] = {}
+
+    @property
+    def revision(self) -> int:
+        """Revision of the route set in force; 0 if there is none."""
+        return self._in_force.revision
+
+    def query_newer(
+        self, peer_revision: int, node_id: str
+    ) -> messages.RoutesQuery | None:
+        """Return a query for the routes that a node has announced, if newer.
+
+        Parameters
+        ----------
+        peer_revision : int
+            Revision of the peer's route set.
+        node_id : str
+            Node that has announced it; empty if unknown.
+        """
+        if peer_revision <= self.revision:
+            return None
+        if node_id and len(self._announcers) < MAX_ANNOUNCED_REVISIONS:
+            self._announcers.setdefault(peer_revision, node_id)
+        return messages.RoutesQuery(self.revision)
+
+    def reply_if_newer(
+        self, peer_revision: int, effects: effects_module.Effects
+    ) -> None:
+        """Reply with the route set in force if the peer's is older."""
+        if self.revision > peer_revision:
+            effects.replies.append(
+                messages.RoutesReply(self._in_force.current)
+            )
+
+    def on_reply(
+        self, new: routes.RouteSet, effects: effects_module.Effects
+    ) -> None:
+        """Put a route set of a peer in force if it is newer."""
+        source = self._announcers.get(new.revision, PEER_SOURCE)
+        self.apply(new, source, effects)
+
+    def apply(
+        self,
+        new: routes.RouteSet,
+        source: str,
+        effects: effects_module.Effects,
+    ) -> None:
+        """Put a route set in force if it is newer."""
+        if self._in_force.apply(new):
+            self._announcers = {
+                revision: node_id
+                for revision, node_id in self._announcers.items()
+                if revision > new.revision
+            }
+            effects.route_set = new
+            effects.routes_source = source
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from jasminebeam.configuration import delegates
+from jasminebeam.membership import effects as effects_module
 from jasminebeam.membership import fan_out
 from jasminebeam.membership import gossip
 from jasminebeam.membership import watch_reports
@@ -369,7 +370,7 @@
         if future is not None and not future.done():
             future.set_result(message.revision)
 
-    def _apply(self, effects: gossip.Effects) -> None:
+    def _apply(self, effects: effects_module.Effects) -> None:
         now_ms = self._clock()
         for outgoing in effects.outgoing:
             message = self._with_store_age(outgoing.message)
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -21,6 +21,7 @@
 from jasminebeam.ingress import admission_client
 from jasminebeam.ingress import dispatcher
 from jasminebeam.membership import gossip
+from jasminebeam.membership import options as gossip_options
 from jasminebeam.membership import task as membership_task
 from jasminebeam.model import routes as routes_model
 from jasminebeam.model import upstreams
@@ -123,7 +124,7 @@
         self._routes_applied_ms = 0.0
         self.sidecar.on_leaving = self._on_upstream_leaving
         self.sidecar.on_availability = self._publish_availability
-        self._gossip_options = gossip.Options()
+        self._gossip_options = gossip_options.Options()
         self.membership = self._create_membership()
         self.metrics.in_flight.set_function(lambda: self.sidecar.in_flight)
         self.metrics.queued.set_function(lambda: self.sidecar.queued)
--- a/tests/test_membership/test_gossip.py
+++ b/tests/test_membership/test_gossip.py
@@ -9,7 +9,9 @@
 
 from jasminebeam.configuration import directory
 from jasminebeam.configuration import routes
+from jasminebeam.membership import effects
 from jasminebeam.membership import gossip
+from jasminebeam.membership import options
 from jasminebeam.membership import table
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
@@ -48,7 +50,7 @@
             routes.RouteDirectory(random.Random(name)),
             seeds,
             random.Random(name),
-            gossip.Options(),
+            options.Options(),
         )
 
     def partition(self, one, other):
@@ -202,7 +204,7 @@
             if record.failure_domain == domain
         )
         node.member_rumors.discard(name)
-        node._mark_suspected(name, network.now_ms, gossip.Effects())
+        node._mark_suspected(name, network.now_ms, effects.Effects())
         assert node.members.get(name).status is SUSPECT
         assert (name in node.member_rumors._items) is expected
 
--- a/tests/test_membership/test_task.py
+++ b/tests/test_membership/test_task.py
@@ -112,7 +112,7 @@
     """The revision of a report is that of the node that passed it on."""
     _, state, replies = _receive(messages.WatchReport('n2', 0, 5))
     assert messages.RoutesQuery(0) in replies
-    assert not state._routes_announcers
+    assert not state._routes._announcers
 
 
 @pytest.mark.parametrize('watcher_id', ['no-member', 'n1', '', 'x' * 10_000])
--- a/tests/test_platform/test_added_routes.py
+++ b/tests/test_platform/test_added_routes.py
@@ -13,7 +13,7 @@
 import pytest
 import pytest_asyncio
 
-from jasminebeam.membership import gossip
+from jasminebeam.membership import effects
 from jasminebeam import node
 from jasminebeam.peering import messages
 from jasminebeam.platform import adapter
@@ -533,11 +533,11 @@
 
     def receive_other(message, now_ms):
         if isinstance(message, messages.RoutesReply):
-            return gossip.Effects()
+            return effects.Effects()
         return receive(message, now_ms)
 
     state.receive = receive_other
-    state.adopt_routes = lambda new: gossip.Effects()
+    state.adopt_routes = lambda new: effects.Effects()
 
 
 def _record_revisions(created):
