Queue the requests of teams by fair shares

In the order of objectives alone, the requests of a team at eight times its usual load take the capacity of the others. Within a priority class, teams now start by start-time fair queueing over a virtual time, charged by typical service time; estimates use the same order. A full queue refuses the last request of the team that uses most (event 721), and the ingress caches refusals by team.

Ruled out: deficit round robin, and virtual starts set on arrival, because the order within a team is that of objectives.

--- a/jasminebeam/admission/queue.py
+++ b/jasminebeam/admission/queue.py
@@ -7,6 +7,7 @@
 import math
 import typing
 
+from jasminebeam.admission import fair_shares
 from jasminebeam.admission import host_speed
 
 # Service times vary by about a third. If less than this share of the typical
@@ -59,13 +60,16 @@
         Priority class; the lowest value starts first.
     objective_ms : float
         Monotonic instant until which an answer has its full value. Within
-        a priority class, the earliest objective starts first.
+        a priority class and a team, the earliest objective starts first.
     route : str
         Requests of the same route take about the same time.
     typical_ms : float
         Typical service time of the route.
     queue_deadline_ms : float
         Monotonic instant at which the request leaves the queue unstarted.
+    team : str
+        Name of the team; empty if there is none. The teams of a priority
+        class get fair shares of the starts.
     """
 
     ticket: object
@@ -76,6 +80,7 @@
     route: str = ''
     typical_ms: float = 0.0
     queue_deadline_ms: float = math.inf
+    team: str = ''
 
     def max_start_delay_ms(self, slowness: float) -> float:
         """Return for how long a start on a slow host is worth delaying."""
@@ -119,12 +124,14 @@
     Load pattern: sustained overload, in which the offered load exceeds
     the upstream's capacity. In order of arrival, every request would
     become late. Timely requests, which can still meet their objective,
-    therefore start first, by priority and objective. Late requests get the
-    remaining capacity.
+    therefore start first, by priority, by fair shares of the teams, and by
+    objective. Late requests get the remaining capacity. Without teams, the
+    shares change nothing.
     """
 
     def __init__(self) -> None:
         self._entries: list[Waiting] = []
+        self._shares = fair_shares.FairShares()
         self._slowness = 1.0
         self._slow_since_ms = math.inf
 
@@ -165,7 +172,7 @@
         too_late = []
         wait_expired = []
         kept: list[Waiting] = []
-        for waiting in self._entries:
+        for waiting in self._in_start_order(self._entries):
             start_ms = now_ms + earliest_wait_ms(len(kept))
             if waiting.is_too_late(now_ms):
                 too_late.append(waiting.ticket)
@@ -176,7 +183,7 @@
             else:
                 kept.append(waiting)
         if len(kept) < len(self._entries):
-            self._entries = kept
+            self._entries = sorted(kept, key=_queue_order)
         return Dropped(tuple(too_late), tuple(wait_expired))
 
     def update_slowness(self, slowness: float, now_ms: float) -> None:
@@ -193,28 +200,94 @@
         Load pattern: a host is slow for a fraction of a second, so a
         request ends sooner if its start is delayed until the host is fast.
         """
-        first_late = None
-        for waiting in self._entries:
-            if self._is_delayed(waiting, now_ms):
-                continue
-            if waiting.is_timely(now_ms):
-                self._entries.remove(waiting)
-                return waiting
-            first_late = first_late or waiting
-        if first_late is not None:
-            self._entries.remove(first_late)
-        return first_late
+        ready = [
+            waiting
+            for waiting in self._entries
+            if not self._is_delayed(waiting, now_ms)
+        ]
+        timely = [waiting for waiting in ready if waiting.is_timely(now_ms)]
+        # The entries are ordered, so the earliest objective wins a tie.
+        chosen = min(timely or ready, key=self._share_order, default=None)
+        if chosen is not None:
+            self._entries.remove(chosen)
+            self._shares.charge(chosen)
+        if not self._entries:
+            self._shares.forget()
+        return chosen
 
     def timely_ahead(
-        self, priority: int, objective_ms: float, now_ms: float
+        self,
+        priority: int,
+        objective_ms: float,
+        now_ms: float,
+        team: str = '',
     ) -> int:
         """Return how many timely requests would start before a new one."""
-        order = (priority, objective_ms)
-        return sum(
-            _queue_order(waiting) <= order and waiting.is_timely(now_ms)
-            for waiting in self._entries
+        new = Waiting(
+            None,
+            math.inf,
+            priority=priority,
+            objective_ms=objective_ms,
+            team=team,
+        )
+        timely = [
+            waiting for waiting in self._entries if waiting.is_timely(now_ms)
+        ]
+        ordered = self._in_start_order(timely, new)
+        return next(
+            ahead for ahead, waiting in enumerate(ordered) if waiting is new
         )
 
+    def displaced_by(self, new: Waiting) -> Waiting | None:
+        """Return the request that a full queue refuses in place of a new one.
+
+        It is the one that would start last: the last one of the team that
+        uses most, in the least urgent class. The result is None if that is
+        the new request, or another one of its team, or if neither has a
+        team.
+        """
+        ordered = list(self._entries)
+        bisect.insort(ordered, new, key=_queue_order)
+        keys = self._start_keys(ordered)
+        priority, start_ms, position = max(keys)
+        last = ordered[position]
+        new_key = next(key for key in keys if ordered[key[2]] is new)
+        if (priority, start_ms) == new_key[:2]:
+            return None
+        is_own = (priority, last.team) == (new.priority, new.team)
+        return last if not is_own and (last.team or new.team) else None
+
+    def _share_order(self, waiting: Waiting) -> tuple[int, float]:
+        return waiting.priority, self._shares.virtual_start_ms(
+            waiting.priority, waiting.team
+        )
+
+    def _in_start_order(
+        self, entries: list[Waiting], new: Waiting | None = None
+    ) -> list[Waiting]:
+        """Return ordered requests, and a new one, in the order of starts."""
+        ordered = list(entries)
+        if new is not None:
+            bisect.insort(ordered, new, key=_queue_order)
+        if not any(waiting.team for waiting in ordered):
+            return ordered
+        return [
+            ordered[position]
+            for _, _, position in sorted(self._start_keys(ordered))
+        ]
+
+    def _start_keys(
+        self, ordered: list[Waiting]
+    ) -> list[tuple[int, float, int]]:
+        """Return priority, virtual start and position of each request."""
+        starts_ms = self._shares.virtual_starts_ms(ordered)
+        return [
+            (waiting.priority, start_ms, position)
+            for position, (waiting, start_ms) in enumerate(
+                zip(ordered, starts_ms, strict=True)
+            )
+        ]
+
     def _is_delayed(self, waiting: Waiting, now_ms: float) -> bool:
         if math.isinf(self._slow_since_ms):
             return False
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -45,10 +45,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
-    """Decision on an offer, with the reason for a refusal."""
+    """Decision on an offer, with the reason for a refusal.
+
+    Parameters
+    ----------
+    action : Action
+        What the sidecar does with the request.
+    reason : Reason
+        Why it is refused; ``NONE`` if it is not.
+    displaced : object or None
+        Ticket of a queued request that is refused in its place.
+    """
 
     action: Action
     reason: verdict.Reason = verdict.Reason.NONE
+    displaced: object | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +81,8 @@
         a priority class, the earliest objective starts first.
     route : str
         Requests of the same route take about the same time.
+    team : str
+        Name of the team; empty if there is none.
     """
 
     ticket: object
@@ -78,6 +91,7 @@
     priority: int = 0
     objective_ms: float = math.inf
     route: str = ''
+    team: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,6 +139,7 @@
     decision: Decision
     wait_ms: float = 0.0
     waiting: queue.Waiting | None = None
+    displaced: queue.Waiting | None = None
 
 
 class SlotQueue:
@@ -199,6 +214,11 @@
             self._start(offer.ticket, offer.route, slowness, now_ms)
         elif plan.waiting is not None:
             self._queue.add(plan.waiting)
+        if plan.displaced is not None:
+            self._queue.remove(plan.displaced.ticket)
+            return dataclasses.replace(
+                plan.decision, displaced=plan.displaced.ticket
+            )
         return plan.decision
 
     def estimate(
@@ -214,7 +234,7 @@
         if not start_delay_ms and self._may_start(now_ms) and not self._queue:
             return _Plan(START)
         ahead = self._queue.timely_ahead(
-            offer.priority, offer.objective_ms, now_ms
+            offer.priority, offer.objective_ms, now_ms, offer.team
         )
         wait_ms = max(start_delay_ms, self._wait_ms(ahead, now_ms))
         late_from_ms = offer.objective_ms - queue.TIMELY_RATIO * typical_ms
@@ -235,14 +255,18 @@
             offer.route,
             typical_ms,
             late_from_ms + late_wait_ms,
+            offer.team,
         )
         if waiting.is_too_late(now_ms + wait_ms):
             return self._refuse(MISSES_DEADLINE, now_ms)
         if wait_ms > offer.max_wait_ms:
             return self._refuse(BUSY, now_ms)
-        if len(self._queue) >= self.slots * self._queue_ratio:
+        if len(self._queue) < self.slots * self._queue_ratio:
+            return _Plan(WAIT, wait_ms, waiting)
+        displaced = self._queue.displaced_by(waiting)
+        if displaced is None:
             return _Plan(QUEUE_FULL)
-        return _Plan(WAIT, wait_ms, waiting)
+        return _Plan(WAIT, wait_ms, waiting, displaced)
 
     def _refuse(self, decision: Decision, now_ms: float) -> _Plan:
         """Return a refusal, which names the rate limit if it is the cause."""
--- a/jasminebeam/ingress/admission_client.py
+++ b/jasminebeam/ingress/admission_client.py
@@ -35,9 +35,9 @@
 # many requests compete for it, so that a new query would be refused too.
 REFUSAL_LIFETIME_MS = 10.0
 
-# Routes with a cached refusal. New configurations add routes, so the number
-# must be bounded.
-MAX_ROUTES = 1_024
+# Routes and teams with a cached refusal. New configurations add both, so the
+# number must be bounded.
+MAX_REFUSALS = 1_024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,7 +111,9 @@
         self._peer_provider = provider
         self._cost_parameters = cost_parameters
         self._clock = clock
-        self._refusals: dict[tuple[str, str], _CachedRefusal] = {}
+        # By service, route and team: a team that uses much is refused where
+        # one within its share is not.
+        self._refusals: dict[tuple[str, str, str], _CachedRefusal] = {}
 
     async def recommend(
         self,
@@ -128,9 +130,9 @@
             Eligible upstreams, ordered by their cost according to the
             known load samples, the cheapest first.
         """
-        service_route = (call.service, call.route)
+        refusal_key = (call.service, call.route, call.team)
         started_ms = self._clock()
-        refusal = self._refusals.get(service_route)
+        refusal = self._refusals.get(refusal_key)
         if refusal is not None and refusal.applies_to(call, started_ms):
             return Recommendation(None, refusal.reason)
         replies = _Replies()
@@ -148,7 +150,7 @@
         if not replies.estimates:
             return Recommendation(None, queried=queried)
         reason = replies.estimates[0].reason
-        self._cache_refusal(service_route, call, reason, started_ms)
+        self._cache_refusal(refusal_key, call, reason, started_ms)
         return Recommendation(None, reason, queried)
 
     async def _query_in_batches(
@@ -196,14 +198,14 @@
 
     def _cache_refusal(
         self,
-        service_route: tuple[str, str],
+        refusal_key: tuple[str, str, str],
         call: requests.Call,
         reason: verdict.Reason,
         queried_ms: float,
     ) -> None:
-        if len(self._refusals) >= MAX_ROUTES:
+        if len(self._refusals) >= MAX_REFUSALS:
             self._refusals.clear()
-        self._refusals[service_route] = _CachedRefusal(
+        self._refusals[refusal_key] = _CachedRefusal(
             reason,
             self._clock() + REFUSAL_LIFETIME_MS,
             call.objective_ms - queried_ms,
--- a/jasminebeam/sidecar/execution.py
+++ b/jasminebeam/sidecar/execution.py
@@ -139,6 +139,7 @@
                 message.priority,
                 calls.objective_ms(message.objective_left_us, received_ms),
                 message.route,
+                calls.team(message),
             )
             slowness = self._host_speed.relative_slowness(now_ms)
             estimate = self._slots.estimate(offer, slowness, now_ms)
@@ -225,10 +226,13 @@
             call.priority,
             call.objective_ms,
             call.route,
+            call.team,
         )
         decision = self._slots.offer(
             offer, self._host_speed.relative_slowness(now_ms), now_ms
         )
+        if decision.displaced is not None:
+            self._shed(decision.displaced, call.team, now_ms)
         if decision.action is slots.Action.START:
             self._start(request_id, now_ms)
         elif decision.action is slots.Action.REFUSE:
@@ -237,6 +241,21 @@
         else:
             self._polling.start()
 
+    def _shed(
+        self, request_id: registry.RequestId, for_team: str, now_ms: float
+    ) -> None:
+        """Refuse a queued request in favour of one of another team."""
+        call = self.active[request_id].call
+        self._log.write(
+            events.Event.TEAM_SHED,
+            request=call.request_id,
+            team=call.team,
+            for_team=for_team,
+        )
+        self._counters.team_sheds.inc()
+        refused = verdict.not_run(verdict.Reason.QUEUE_FULL)
+        self._finish(request_id, refused, now_ms)
+
     def process_pending(self) -> None:
         """Decide on the requests and queries that wait for a report."""
         now_ms = self._clock()
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -148,6 +148,9 @@
     KEY_REFUSED = EventKind(
         720, logbook.INFO, 'request without the key of a team refused'
     )
+    TEAM_SHED = EventKind(
+        721, logbook.INFO, 'queued request refused in favour of another team'
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -63,6 +63,11 @@
             'Requests refused for their key, by reason.',
             'reason',
         )
+        self.team_sheds = self._counter(
+            'team_sheds',
+            'Queued requests refused in favour of another team.',
+            '',
+        )
         self.runs = self._counter(
             'runs', 'Requests handed to the upstream.', 'outcome'
         )
--- a/tests/test_ingress/test_admission_client.py
+++ b/tests/test_ingress/test_admission_client.py
@@ -114,3 +114,37 @@
     server.sidecar.handle = handle
     result = cluster.result(cluster.send(cluster.call()))
     assert result.outcome is verdict.Outcome.ANSWERED
+
+
+def test_refusal_of_one_team_refused_another(cluster):
+    """A cached refusal holds for its team alone.
+
+    The team within its share displaces a queued request of the one that has
+    filled the queue, and that request is refused as not run.
+    """
+    server = cluster.add('u1', slots=1)
+    server.upstream.blocked = asyncio.Event()
+    peer = cluster.pool.peer('u1', server.member.address)
+
+    def call(team):
+        created = cluster.call(timeout_ms=60_000.0)
+        return dataclasses.replace(created, route='r', team=team)
+
+    async def fill_queue():
+        return [peer.submit(call('red'), 60_000.0) for _ in range(5)]
+
+    queued = cluster.loop.run_until_complete(fill_queue())
+    cluster.run(0.05)
+    refused = cluster.result(cluster.send(call('red')))
+    assert refused.outcome is verdict.Outcome.NOT_RUN
+    task = cluster.send(call('blue'))
+    cluster.run(0.01)
+    shed = [attempt for attempt in queued if attempt.future.done()]
+    assert [attempt.future.result() for attempt in shed] == [
+        verdict.not_run(verdict.Reason.QUEUE_FULL)
+    ]
+    server.upstream.blocked.set()
+    assert cluster.result(task).outcome is verdict.Outcome.ANSWERED
+    cluster.run(1.0)
+    assert cluster.runs(shed[0].call.request_id) == 0
+    assert 'team_sheds_total 1.0' in cluster.metrics.render().decode()
