--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -216,6 +216,7 @@
             identity = self._identify(request, match)
         call = self._create_call(request, match, identity, body, started_ms)
         result = await self._dispatch(call, match)
+        self._counters.team_requests.add(call.team, result.outcome.value)
         if match.service.probe_share:
             size_bytes = _wire_bytes(call, result)
             self._probes.on_request(match.service, size_bytes, started_ms)
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -6,6 +6,8 @@
 
 import prometheus_client
 
+from jasminebeam.telemetry import team_counts
+
 LATENCY_BUCKETS_S = (
     0.0005,
     0.001,
@@ -28,6 +30,8 @@
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
+        self.team_requests = team_counts.TeamCounts()
+        self.registry.register(self.team_requests)
         self._add_requests()
         self._add_peering()
         self._add_control()
--- a/tests/test_platform/test_teams.py
+++ b/tests/test_platform/test_teams.py
@@ -245,3 +245,61 @@
         )
         assert status == 200
         assert cluster.upstreams[0].last_headers['Tenant-Id'] == name
+
+
+async def test_burst_of_configurations_mixed_up_the_keys(cluster):
+    """In a burst of versions in which all keys move, none counts for two.
+
+    Requests that run beside the burst are refused or served for the team
+    that a version of the burst gives the key to.
+    """
+    count = 83
+
+    def moved(version):
+        return [
+            (f't{number}', f'key-{(number + version) % count}')
+            for number in range(count)
+        ]
+
+    owners = {
+        name
+        for version in range(3, 13)
+        for name, key in moved(version)
+        if key == 'key-40'
+    }
+    last = 12
+    burst = asyncio.create_task(_put_all(cluster, range(3, last + 1), moved))
+    seen = []
+    while not burst.done():
+        status, _, _ = await cluster.send_request(
+            Authorization='Bearer key-40'
+        )
+        assert status in (200, 401)
+        if status == 200:
+            headers = cluster.upstreams[0].last_headers
+            seen += headers.getall('Tenant-Id')
+    await burst
+    assert set(seen) <= owners
+    for name, key in moved(last):
+        status, _, _ = await cluster.send_request(
+            Authorization=f'Bearer {key}'
+        )
+        assert status == 200
+        assert cluster.upstreams[0].last_headers['Tenant-Id'] == name
+
+
+async def _put_all(cluster, versions, teams):
+    for version in versions:
+        found = json.dumps(document(version, teams(version))).encode()
+        await cluster.store.put('op/config', found)
+        await asyncio.sleep(0.02)
+    await cluster.wait_until(
+        lambda: cluster.nodes[0].route_sets.revision == versions[-1]
+    )
+
+
+async def test_requests_of_a_team_were_not_counted(cluster):
+    """The metrics count the requests of each team by outcome."""
+    await cluster.send_request(**RED)
+    rendered = cluster.nodes[0].metrics.render().decode()
+    assert 'team_requests_total{outcome="answered",team="red"} 1.0' in rendered
