Share the rate limits of teams by tokens that are conserved

A limit of a team counts over all nodes. Each node generates its part of the rate into a bucket; a node without a token asks the team's coordinator, which collects the surplus of others. Tokens that leave a bucket expire after 300 ms, so lost messages lose tokens and nothing doubles them.

This adds the decisions, the messages (tags 46 to 49) and a simulation in virtual time; nothing uses them yet.

--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from jasminebeam.model import requests
 from jasminebeam.model import routes
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
+from jasminebeam.peering import base
+from jasminebeam.peering import token_messages
 
 PROTOCOL_VERSION = 1
 
 UNKNOWN_AGE_MS = -1
 
 
-class Message(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Base class of the messages between nodes."""
+Message = base.Message
 
 
 class Hello(Message, tag=1):
@@ -455,6 +454,10 @@
     | WatchReportAck
     | TeamRequest
     | TeamAdmissionQuery
+    | token_messages.TokenRequest
+    | token_messages.TokenGrant
+    | token_messages.TokenCollection
+    | token_messages.TokenSurplus
 )
 
 CONTROL_TYPES = (
--- /dev/null
+++ b/jasminebeam/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of teams over all nodes together."""
