--- a/tests/test_quotas/test_fleet_size.py
+++ b/tests/test_quotas/test_fleet_size.py
@@ -9,6 +9,7 @@
 from jasminebeam.configuration import directory
 from jasminebeam.configuration import routes
 from jasminebeam.membership import gossip
+from jasminebeam.membership import options
 from jasminebeam.model import upstreams
 from jasminebeam.quotas import fleet_size
 from tests.test_quotas import simulation
@@ -105,7 +106,7 @@
             routes.RouteDirectory(random.Random(name)),
             self.names[: simulation.DOMAINS],
             random.Random(name),
-            gossip.Options(),
+            options.Options(),
         )
         self.sizes[name] = fleet_size.FleetSize(name, self.now_ms)
         self._apply(name, self.nodes[name].join())
