--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -8,6 +8,7 @@
 import math
 import typing
 
+from jasminebeam.ingress import request_log
 from jasminebeam.retries import budget
 from jasminebeam.retries import policy
 from jasminebeam.retries import quantile
@@ -126,7 +127,7 @@
         admission: admission_client.AdmissionClient,
         configuration_state: typing.Callable[[], dict[str, object]] = dict,
     ) -> None:
-        self._configuration_state = configuration_state
+        self._request_log = request_log.RequestLog(log, configuration_state)
         self._admission = admission
         self._selector = selector
         self._peer_provider = provider
@@ -162,28 +163,14 @@
         finally:
             self._cancel_pending(progress)
         self._count_outcome(service.name, result.outcome)
-        self._log_request_end(progress, result)
-        return result
-
-    def _log_request_end(
-        self, progress: _RequestProgress, result: verdict.Verdict
-    ) -> None:
-        call = progress.call
-        now_ms = self._clocks.monotonic_ms()
-        self._log.write(
-            events.Event.REQUEST_ENDED,
-            request=call.request_id,
-            route=call.route,
-            priority=call.priority,
-            revision=call.revision,
-            **self._configuration_state(),
-            outcome=result.outcome.value,
-            reason=result.reason.value,
-            status=result.answer.status if result.answer else 0,
-            attempts=progress.attempts,
-            took_ms=round(now_ms - progress.started_ms, 1),
-            left_ms=round(call.deadline_ms - now_ms, 1),
+        self._request_log.request_ended(
+            call,
+            result,
+            progress.attempts,
+            started_ms,
+            self._clocks.monotonic_ms(),
         )
+        return result
 
     def _count_outcome(self, service: str, outcome: verdict.Outcome) -> None:
         key = (service, outcome)
@@ -296,7 +283,7 @@
             )
             recommendation = await self._admission.recommend(call, ranked)
             if recommendation.refusal is not verdict.Reason.NONE:
-                self._log_refusal(progress, recommendation)
+                self._request_log.all_refuse(call, recommendation)
                 return verdict.not_run(recommendation.refusal)
             if recommendation.state is not None:
                 now_ms = self._clocks.monotonic_ms()
@@ -307,19 +294,6 @@
                 return None
         return self._send(progress, hedge=False, rerouted=rerouted)
 
-    def _log_refusal(
-        self,
-        progress: _RequestProgress,
-        recommendation: admission_client.Recommendation,
-    ) -> None:
-        self._log.write(
-            events.Event.ALL_REFUSE,
-            request=progress.call.request_id,
-            service=progress.service.name,
-            asked=recommendation.queried,
-            reason=recommendation.refusal.value,
-        )
-
     def _send(
         self,
         progress: _RequestProgress,
@@ -375,33 +349,14 @@
         token = next(self._tokens)
         state.on_sent(token, now_ms)
         attempt = peer.submit(call, wait_ms)
-        self._log_attempt_sent(progress, state, wait_ms, now_ms)
+        self._request_log.attempt_sent(
+            call, state, progress.attempts + 1, wait_ms, now_ms
+        )
         pending = _PendingAttempt(token, state, peer, attempt, hedge, now_ms)
         progress.pending_attempts[attempt.future] = pending
         progress.tried_nodes.add(member.node_id)
         progress.attempts += 1
 
-    def _log_attempt_sent(
-        self,
-        progress: _RequestProgress,
-        state: table.UpstreamState,
-        wait_ms: float,
-        now_ms: float,
-    ) -> None:
-        sample = state.sample
-        self._log.write(
-            events.Event.ATTEMPT_SENT,
-            request=progress.call.request_id,
-            service=progress.service.name,
-            attempt=progress.attempts + 1,
-            member=state.member.node_id,
-            sample_age_ms=round(now_ms - state.sample_ms) if sample else -1,
-            in_flight=sample.in_flight if sample else -1,
-            queued=sample.queued if sample else -1,
-            slowness_percent=sample.slowness_percent if sample else -1,
-            max_wait_ms=round(wait_ms),
-        )
-
     async def _next_result(
         self, progress: _RequestProgress
     ) -> verdict.Verdict:
