--- a/jasminebeam/ingress/request_log.py
+++ b/jasminebeam/ingress/request_log.py
@@ -108,6 +108,7 @@
         self._log.write(
             events.Event.REQUEST_ENDED,
             request=call.request_id,
+            **call.team_field(),
             route=call.route,
             priority=call.priority,
             revision=call.revision,
--- a/jasminebeam/model/requests.py
+++ b/jasminebeam/model/requests.py
@@ -68,6 +68,10 @@
     revision: int = 0
     team: str = ''
 
+    def team_field(self) -> dict[str, object]:
+        """Return the team as a field for the log; empty if there is none."""
+        return {'team': self.team} if self.team else {}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
--- a/jasminebeam/sidecar/execution.py
+++ b/jasminebeam/sidecar/execution.py
@@ -380,6 +380,7 @@
             self._log.write(
                 events.Event.REQUEST_REFUSED,
                 request=active.call.request_id,
+                **active.call.team_field(),
                 reason=result.reason.value,
                 waited_ms=round(now_ms - active.accepted_ms, 1),
                 **self._decision_inputs(now_ms),
--- a/tests/test_platform/test_teams.py
+++ b/tests/test_platform/test_teams.py
@@ -182,6 +182,12 @@
     written = []
     while not records.empty():
         written.append(records.get_nowait())
+    (ended,) = (
+        record
+        for record in written
+        if record.kind is events.Event.REQUEST_ENDED.value
+    )
+    assert ended.fields['team'] == 'red'
     kinds = [record.kind for record in written]
     assert events.Event.KEY_REFUSED.value in kinds
     assert kinds.count(events.Event.REQUEST_MALFORMED.value) == 2
