--- a/tests/test_platform/test_teams.py
+++ b/tests/test_platform/test_teams.py
@@ -309,3 +309,37 @@
     await cluster.send_request(**RED)
     rendered = cluster.nodes[0].metrics.render().decode()
     assert 'team_requests_total{outcome="answered",team="red"} 1.0' in rendered
+
+
+async def test_team_was_lost_on_the_way_to_another_host(cluster):
+    """A request that runs on another host takes its team there.
+
+    The host receives neither the key nor a request without the team.
+    """
+    await cluster.add_host(announced=False, zone='b', service='seats')
+    ingress = cluster.nodes[1]
+    await cluster.wait_until(
+        lambda: (
+            ingress.route_sets.revision == 2
+            and ingress.routes.members_of('fees')
+        )
+    )
+    recorded = []
+    sidecar = cluster.nodes[0].sidecar
+    for message_type in (messages.TeamRequest, messages.Request):
+        handler = sidecar._handlers[message_type]
+
+        def record(message, send, handler=handler):
+            recorded.append(message)
+            handler(message, send)
+
+        sidecar._handlers[message_type] = record
+    status, _, _ = await cluster.send_request(index=1, **RED, **FORGED)
+    assert status == 200
+    received = cluster.upstreams[0].last_headers
+    assert received.getall('Tenant-Id') == ['red']
+    assert [message.team for message in recorded] == ['red']
+    assert b'secret' not in codec.encode(recorded[0])
+    status, _, _ = await cluster.send_request(index=1, path='/open/1')
+    assert status == 200
+    assert type(recorded[-1]) is messages.Request
