Let requests without teams cost no fair queueing

The queue sorted its requests for each start although none had a team. A new request of a team behind requests without one is estimated by shares too, as a test shows.

--- a/jasminebeam/admission/queue.py
+++ b/jasminebeam/admission/queue.py
@@ -132,6 +132,9 @@
     def __init__(self) -> None:
         self._entries: list[Waiting] = []
         self._shares = fair_shares.FairShares()
+        # True if a request with a team has waited since the queue was empty.
+        # Without one, the order of the entries is that of their starts.
+        self._has_teams = False
         self._slowness = 1.0
         self._slow_since_ms = math.inf
 
@@ -141,12 +144,14 @@
     def add(self, waiting: Waiting) -> None:
         """Add a request to the queue."""
         bisect.insort(self._entries, waiting, key=_queue_order)
+        self._has_teams = self._has_teams or bool(waiting.team)
 
     def remove(self, ticket: object) -> bool:
         """Remove a request; return False if it is not in the queue."""
         for waiting in self._entries:
             if waiting.ticket == ticket:
                 self._entries.remove(waiting)
+                self._forget_if_empty()
                 return True
         return False
 
@@ -154,6 +159,7 @@
         """Remove and return all requests."""
         tickets = tuple(waiting.ticket for waiting in self._entries)
         self._entries.clear()
+        self._forget_if_empty()
         return tickets
 
     def drop(
@@ -172,7 +178,10 @@
         too_late = []
         wait_expired = []
         kept: list[Waiting] = []
-        for waiting in self._in_start_order(self._entries):
+        entries = self._entries
+        if self._has_teams:
+            entries = self._in_start_order(entries)
+        for waiting in entries:
             start_ms = now_ms + earliest_wait_ms(len(kept))
             if waiting.is_too_late(now_ms):
                 too_late.append(waiting.ticket)
@@ -184,6 +193,7 @@
                 kept.append(waiting)
         if len(kept) < len(self._entries):
             self._entries = sorted(kept, key=_queue_order)
+            self._forget_if_empty()
         return Dropped(tuple(too_late), tuple(wait_expired))
 
     def update_slowness(self, slowness: float, now_ms: float) -> None:
@@ -200,19 +210,12 @@
         Load pattern: a host is slow for a fraction of a second, so a
         request ends sooner if its start is delayed until the host is fast.
         """
-        ready = [
-            waiting
-            for waiting in self._entries
-            if not self._is_delayed(waiting, now_ms)
-        ]
-        timely = [waiting for waiting in ready if waiting.is_timely(now_ms)]
-        # The entries are ordered, so the earliest objective wins a tie.
-        chosen = min(timely or ready, key=self._share_order, default=None)
+        chosen = self._next(now_ms)
         if chosen is not None:
             self._entries.remove(chosen)
-            self._shares.charge(chosen)
-        if not self._entries:
-            self._shares.forget()
+            if self._has_teams:
+                self._shares.charge(chosen)
+            self._forget_if_empty()
         return chosen
 
     def timely_ahead(
@@ -223,6 +226,12 @@
         team: str = '',
     ) -> int:
         """Return how many timely requests would start before a new one."""
+        if not (self._has_teams or team):
+            order = (priority, objective_ms)
+            return sum(
+                _queue_order(waiting) <= order and waiting.is_timely(now_ms)
+                for waiting in self._entries
+            )
         new = Waiting(
             None,
             math.inf,
@@ -233,7 +242,8 @@
         timely = [
             waiting for waiting in self._entries if waiting.is_timely(now_ms)
         ]
-        ordered = self._in_start_order(timely, new)
+        bisect.insort(timely, new, key=_queue_order)
+        ordered = self._in_start_order(timely)
         return next(
             ahead for ahead, waiting in enumerate(ordered) if waiting is new
         )
@@ -246,6 +256,8 @@
         the new request, or another one of its team, or if neither has a
         team.
         """
+        if not (self._has_teams or new.team):
+            return None
         ordered = list(self._entries)
         bisect.insort(ordered, new, key=_queue_order)
         keys = self._start_keys(ordered)
@@ -257,20 +269,35 @@
         is_own = (priority, last.team) == (new.priority, new.team)
         return last if not is_own and (last.team or new.team) else None
 
+    def _next(self, now_ms: float) -> Waiting | None:
+        """Return the request that starts next; late ones go last."""
+        ready = (
+            waiting
+            for waiting in self._entries
+            if not self._is_delayed(waiting, now_ms)
+        )
+        if self._has_teams:
+            ready = sorted(ready, key=self._share_order)
+        first_late = None
+        for waiting in ready:
+            if waiting.is_timely(now_ms):
+                return waiting
+            first_late = first_late or waiting
+        return first_late
+
     def _share_order(self, waiting: Waiting) -> tuple[int, float]:
+        """Return the order among requests ordered by objective."""
         return waiting.priority, self._shares.virtual_start_ms(
             waiting.priority, waiting.team
         )
 
-    def _in_start_order(
-        self, entries: list[Waiting], new: Waiting | None = None
-    ) -> list[Waiting]:
-        """Return ordered requests, and a new one, in the order of starts."""
-        ordered = list(entries)
-        if new is not None:
-            bisect.insort(ordered, new, key=_queue_order)
-        if not any(waiting.team for waiting in ordered):
-            return ordered
+    def _forget_if_empty(self) -> None:
+        if not self._entries and self._has_teams:
+            self._has_teams = False
+            self._shares.forget()
+
+    def _in_start_order(self, ordered: list[Waiting]) -> list[Waiting]:
+        """Return requests, ordered by objective, in the order of starts."""
         return [
             ordered[position]
             for _, _, position in sorted(self._start_keys(ordered))
--- a/tests/test_admission/test_fair_shares.py
+++ b/tests/test_admission/test_fair_shares.py
@@ -48,6 +48,17 @@
     assert _popped(waiting).index('one') <= 1
 
 
+def test_requests_without_a_team_took_the_share_of_one():
+    """Requests without a team together are as one team."""
+    waiting = queue.WaitingQueue()
+    for number in range(50):
+        waiting.add(_waiting(number, '', 500.0 + number))
+    assert waiting.timely_ahead(0, 900.0, 0.0, 'blue') <= 1
+    assert waiting.timely_ahead(0, 900.0, 0.0, '') == 50
+    waiting.add(_waiting('one', 'blue'))
+    assert _popped(waiting).index('one') <= 1
+
+
 def test_long_requests_counted_as_much_as_short_ones():
     """Shares are of work, not of the number of requests."""
     waiting = queue.WaitingQueue()
