Pace the requests to cold upstreams

An upstream that becomes cold under load tolerates a small rate and crashes well above it: at most 1.5 times the cold-start rate plus 8 requests in a second may reach it, from all nodes together. It says so only in health responses and heartbeats, so its sidecar learns of it afterwards.

- admission/cold_start.py decides: at most 6 plus half of the rate start within 1.2 s since the sending of the last health check whose response said warm.
A token bucket paces the starts while the upstream is cold or silent; it is empty after a restart, and nothing starts before the first check has ended.
- sidecar/cold_checks.py checks when half of that number has started, at most every 20 ms, and while the upstream is cold or silent every 250 ms.
- The rate is that of the announced service in the route set in force.
Without one, nothing is checked, sent or counted in addition (a test compares).
- ColdNotice (tag 34) tells ingress nodes when a cold upstream has room; they prefer upstreams with room and send no hedges to cold ones.
Refusals (cold) are rerouted without the retry budget and eject nobody.
- Requests that would have less than their typical time left when they start at a cold upstream are refused at once.

Ruled out: a check before each start, which makes each start wait and leaves the time after the response unbounded; a time limit on the knowledge, within which a burst is not bounded; a full bucket after a restart of the sidecar.

--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import collections
+import math
 import typing
 
 import aiohttp
 from aiohttp import web
 
+from bench.soak import checks
 from bench.standins import endless
 
 SERVICE_TIME_S = 0.005
@@ -46,6 +48,12 @@
         # Value of the header that names a rate limit; empty for none.
         self.limit = ''
         self.leaving = False
+        # Monotonic time in s until which the upstream is cold, whether its
+        # health responses say so, and all arrivals of requests (not of health
+        # checks), with whether it was cold.
+        self.cold_until_s = 0.0
+        self.states_cold = True
+        self.arrivals_s: list[tuple[float, bool]] = []
         # Whether answers report the load.
         self.tells_load = True
         # Whether answers to health checks state the limit and the mark.
@@ -114,11 +122,22 @@
             'status': {
                 'state': state,
                 'sequence': sequence,
-                'coldRemainingMs': 0,
+                'coldRemainingMs': self.cold_ms,
             },
             'born': born,
         }
 
+    @property
+    def cold_ms(self) -> int:
+        """Time for which the upstream stays cold; 0 if it is warm."""
+        left_s = self.cold_until_s - asyncio.get_running_loop().time()
+        return max(0, math.ceil(left_s * 1_000))
+
+    def most_cold_arrivals(self) -> int:
+        """Return the largest number of arrivals in a second while cold."""
+        cold_ms = [at_s * 1_000 for at_s, cold in self.arrivals_s if cold]
+        return checks.most_in_window(cold_ms, 1_000.0) if cold_ms else 0
+
     async def send_leave_notice(self, address: str) -> int:
         """Deregister the upstream and return the status of the response."""
         url = f'http://{address}/v1/instances/{self.upstream_id}'
@@ -147,8 +166,12 @@
             headers |= self._statements()
         if is_check:
             headers['Instance-Id'] = self.upstream_id
+            if self.states_cold and self.cold_ms:
+                headers['Cold-Ms'] = str(self.cold_ms)
             status = 200 if self.healthy else 503
             return web.Response(status=status, headers=headers)
+        now_s = asyncio.get_running_loop().time()
+        self.arrivals_s.append((now_s, now_s < self.cold_until_s))
         request_id = request.headers.get('Request-Id', '')
         headers['Request-Id'] = request_id
         expected = request.headers.get('Expect-Instance')
--- a/jasminebeam/admission/slots.py
+++ b/jasminebeam/admission/slots.py
@@ -6,6 +6,7 @@
 import enum
 import math
 
+from jasminebeam.admission import cold_start
 from jasminebeam.admission import queue
 from jasminebeam.admission import rate_limit
 from jasminebeam.model import upstreams
@@ -130,6 +131,7 @@
 WAIT = Decision(Action.WAIT)
 BUSY = Decision(Action.REFUSE, verdict.Reason.BUSY)
 RATE_LIMITED = Decision(Action.REFUSE, verdict.Reason.RATE_LIMITED)
+COLD = Decision(Action.REFUSE, verdict.Reason.COLD)
 QUEUE_FULL = Decision(Action.REFUSE, verdict.Reason.QUEUE_FULL)
 MISSES_DEADLINE = Decision(Action.REFUSE, verdict.Reason.WOULD_MISS_DEADLINE)
 
@@ -164,6 +166,8 @@
         self.baseline_slowness = 1.0
         # Rate limit that the upstream names.
         self.limit = rate_limit.RateLimit()
+        # Limit while the upstream is cold, or may be.
+        self.cold = cold_start.ColdLimit()
         self._queue_ratio = queue_ratio
         self._usable_ratio = usable_ratio
         self._started: dict[object, float] = {}
@@ -257,7 +261,9 @@
             late_from_ms + late_wait_ms,
             offer.team,
         )
-        if waiting.is_too_late(now_ms + wait_ms):
+        if waiting.is_too_late(now_ms + wait_ms) or (
+            self._wastes_start(waiting, wait_ms, now_ms)
+        ):
             return self._refuse(MISSES_DEADLINE, now_ms)
         if wait_ms > offer.max_wait_ms:
             return self._refuse(BUSY, now_ms)
@@ -268,16 +274,49 @@
             return _Plan(QUEUE_FULL)
         return _Plan(WAIT, wait_ms, waiting, displaced)
 
+    def _wastes_start(
+        self, waiting: queue.Waiting, wait_ms: float, now_ms: float
+    ) -> bool:
+        """Return True if a start at a cold upstream would be too late.
+
+        Starts there are so few that a request must have its typical time
+        left when it starts, with a margin.
+        """
+        if not self.cold.is_paced(now_ms):
+            return False
+        typical_ms = queue.TIMELY_RATIO * waiting.typical_ms
+        return now_ms + wait_ms + typical_ms > waiting.deadline_ms
+
     def _refuse(self, decision: Decision, now_ms: float) -> _Plan:
-        """Return a refusal, which names the rate limit if it is the cause."""
+        """Return a refusal, which names the limit if one is the cause."""
         if self.limit.wait_ms(0, now_ms):
             return _Plan(RATE_LIMITED)
+        if self.cold.wait_ms(0, now_ms):
+            return _Plan(COLD)
         return _Plan(decision)
 
+    def pace_wait_ms(self, ahead: int, now_ms: float) -> float:
+        """Return the time for which the limits hold a request back.
+
+        Parameters
+        ----------
+        ahead : int
+            Requests that start before it.
+        now_ms : float
+            Monotonic time.
+        """
+        return max(
+            self.limit.wait_ms(ahead, now_ms), self.cold.wait_ms(ahead, now_ms)
+        )
+
+    def expiry_reason(self, now_ms: float) -> verdict.Reason:
+        """Return why a queued request has waited too long."""
+        return self._refuse(BUSY, now_ms).decision.reason
+
     def _may_start(self, now_ms: float) -> bool:
         if len(self._started) >= self.usable_slots:
             return False
-        return not self.limit.wait_ms(0, now_ms)
+        return not self.pace_wait_ms(0, now_ms)
 
     def release(
         self, ticket: object, slowness: float, now_ms: float, measured: bool
@@ -318,14 +357,14 @@
     def drop(self, now_ms: float) -> queue.Dropped:
         """Remove the queued requests that have waited too long.
 
-        While a rate limit is in force, those that it will hold back for too
-        long are removed as well.
+        While a limit is in force, those that it will hold back for too long
+        are removed as well.
         """
         self.limit = self.limit.recovered(now_ms)
-        if not self.limit.paced:
+        if not (self.limit.paced or self.cold.enabled):
             return self._queue.drop(now_ms)
         return self._queue.drop(
-            now_ms, lambda ahead: self.limit.wait_ms(ahead, now_ms)
+            now_ms, lambda ahead: self.pace_wait_ms(ahead, now_ms)
         )
 
     def service_ms(self, now_ms: float) -> float:
@@ -352,7 +391,7 @@
         return self._wait_ms(len(self._queue), now_ms)
 
     def _wait_ms(self, queued: int, now_ms: float) -> float:
-        limit_wait_ms = self.limit.wait_ms(queued, now_ms)
+        limit_wait_ms = self.pace_wait_ms(queued, now_ms)
         ahead = len(self._started) + queued + 1 - self.usable_slots
         if ahead <= 0 or not self.usable_slots:
             return limit_wait_ms
@@ -406,6 +445,7 @@
             self._last_completion_ms = now_ms
         self._started[ticket] = now_ms
         self.limit = self.limit.started(now_ms)
+        self.cold = self.cold.started(now_ms)
         self._start_conditions[ticket] = (
             slowness * self.baseline_slowness,
             route,
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -231,11 +231,7 @@
         reason = result.reason.value
         if result.answer is not None:
             reason = verdict.Reason.SERVER_ERROR.value
-        if (
-            policy.is_reroute(result)
-            and progress.accepts_queueing
-            and result.reason is verdict.Reason.RATE_LIMITED
-        ):
+        if progress.accepts_queueing and policy.is_paced(result):
             # The limit is no failure, so it does not use the retry budget.
             return False
         if progress.accepts_queueing or not policy.is_reroute(result):
@@ -398,10 +394,10 @@
                     pending.peer.revoke(pending.attempt)
             return
         if any(
-            pending.state.limit_per_s is not None
+            pending.state.is_limited
             for pending in progress.pending_attempts.values()
         ):
-            # The attempt may wait for the rate limit, which is no failure.
+            # The attempt may wait for the limit, which is no failure.
             return
         reached_upstreams = progress.reached_upstreams + len(
             progress.pending_attempts
--- a/jasminebeam/model/upstreams.py
+++ b/jasminebeam/model/upstreams.py
@@ -143,12 +143,16 @@
         Load, if the answer contains it.
     listening : bool
         False if the connection was refused, so no process has the address.
+    cold_ms : float or None
+        Time for which the upstream stays cold; 0 if it is warm, None if what
+        it states is malformed.
     """
 
     healthy: bool
     upstream_id: str = ''
     report: LoadReport | None = None
     listening: bool = True
+    cold_ms: float | None = 0.0
 
 
 NOT_LISTENING = Health(healthy=False, listening=False)
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -266,6 +266,11 @@
         )
         if upstream_lifecycle.current is not None:
             self.sidecar.update_start(upstream_lifecycle.current.announcement)
+        if upstream_lifecycle.current is heartbeat:
+            # An older heartbeat that arrives late is not the current one.
+            self.sidecar.on_announced_cold(
+                heartbeat.announcement.cold_start_ms
+            )
 
     def on_upstream_leave(self, upstream_id: str, started_ms: int) -> None:
         """Process a leave notice of the local upstream."""
@@ -593,6 +598,7 @@
         self._routes_applied_ms = clock.monotonic_ms()
         for service in route_set.services:
             self.routes.invalidate(service.name)
+        self.sidecar.set_cold_starts(route_set.cold_starts or ())
         self.metrics.config_revision.set(route_set.revision)
         if self.sidecar.announcement is None:
             # The new routes may contain the health path, which is needed to
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -374,6 +374,25 @@
     recent_starts: int = 0
 
 
+class ColdNotice(Message, tag=34):
+    """States that an upstream is cold, or may be, and what it takes.
+
+    A sidecar sends this message ahead of its load samples while this applies,
+    except ahead of that of ``Welcome``. Another sample without it shows that
+    it does not apply.
+
+    Parameters
+    ----------
+    per_s : float
+        Requests a second that the upstream takes from all nodes together.
+    wait_us : int
+        Time until the upstream takes a further request.
+    """
+
+    per_s: float
+    wait_us: int
+
+
 class WatchReport(Message, tag=28):
     """States that a node watches the configuration for its failure domain.
 
@@ -458,6 +477,7 @@
     | token_messages.TokenGrant
     | token_messages.TokenCollection
     | token_messages.TokenSurplus
+    | ColdNotice
 )
 
 CONTROL_TYPES = (
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -84,6 +84,12 @@
     def on_no_notice(self, boot_id: int) -> None:
         """Record that a process of the sidecar has no notice."""
 
+    def on_cold(self, notice: messages.ColdNotice, now_ms: float) -> None:
+        """Record that the upstream is cold, or may be."""
+
+    def on_warm(self) -> None:
+        """Record that the upstream is no longer cold."""
+
     def notice_for(
         self, boot_id: int, now_ms: float
     ) -> messages.UpstreamNotice | None:
@@ -128,6 +134,10 @@
         self._nonce = 0
         # True if a notice has arrived since the last load sample.
         self._has_new_notice = False
+        # The same for a notice that the upstream is cold, and whether the
+        # latest sample had one.
+        self._has_new_cold = False
+        self._is_cold = False
         self.last_used_ms = clock()
         self._handlers = {
             messages.Welcome: self._on_welcome,
@@ -138,6 +148,7 @@
             messages.ProbeReply: self._on_probe_reply,
             messages.AdmissionReply: self._on_admission_reply,
             messages.UpstreamNotice: self._on_upstream_notice,
+            messages.ColdNotice: self._on_cold_notice,
         }
 
     @property
@@ -377,12 +388,19 @@
         if not self._has_new_notice:
             self._observer.on_no_notice(self._boot_id)
         self._has_new_notice = False
+        if self._is_cold and not self._has_new_cold:
+            self._observer.on_warm()
+        self._is_cold, self._has_new_cold = self._has_new_cold, False
         self._observer.on_sample(sample, self._clock())
 
     def _on_upstream_notice(self, message: messages.UpstreamNotice) -> None:
         self._has_new_notice = True
         self._observer.on_notice(message, self._boot_id, self._clock())
 
+    def _on_cold_notice(self, message: messages.ColdNotice) -> None:
+        self._has_new_cold = True
+        self._observer.on_cold(message, self._clock())
+
     def _send_notice(self, boot_id: int, now_ms: float) -> None:
         """Tell a restarted sidecar what it told before its restart."""
         notice = self._observer.notice_for(boot_id, now_ms)
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -189,6 +189,18 @@
         if state is not None:
             state.clear_notice()
 
+    def on_cold(self, notice: messages.ColdNotice, now_ms: float) -> None:
+        """Record that the upstream is cold, or may be."""
+        state = self._routes.state(self._node_id)
+        if state is not None:
+            state.on_cold(notice, now_ms)
+
+    def on_warm(self) -> None:
+        """Record that the upstream is no longer cold."""
+        state = self._routes.state(self._node_id)
+        if state is not None:
+            state.clear_cold()
+
     def notice_for(
         self, boot_id: int, now_ms: float
     ) -> messages.UpstreamNotice | None:
--- a/jasminebeam/platform/upstreams.py
+++ b/jasminebeam/platform/upstreams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import multidict
+
 from jasminebeam import inputs
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
@@ -70,7 +72,10 @@
         return announcement.load_path
 
     def read_health(
-        self, status: int, headers: dialect.HeaderMap, body: bytes
+        self,
+        status: int,
+        headers: multidict.MultiMapping[str],
+        body: bytes,
     ) -> upstreams.Health | None:
         """Return the result of a health check; None for another answer."""
         if wire.REQUEST_ID in headers:
@@ -79,6 +84,7 @@
             healthy=status == 200,
             upstream_id=headers.get(wire.ANSWERING_ID, ''),
             report=self.read_report(headers),
+            cold_ms=notices.parse_cold_ms(headers.getall(wire.COLD, ())),
         )
 
 
--- a/jasminebeam/platform/wire.py
+++ b/jasminebeam/platform/wire.py
@@ -17,6 +17,8 @@
 LIMIT = 'Server-Limit'
 # "1" in each answer of an upstream that is about to stop.
 LEAVING = 'Server-Leaving'
+# Time in ms for which the upstream stays cold, in answers to health checks.
+COLD = 'Cold-Ms'
 # Marks an answer to a request that did not run.
 NOT_RUN = 'Not-Executed'
 # Service of the upstream on the host where the request enters.
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -31,6 +31,7 @@
     {
         verdict.Reason.BUSY,
         verdict.Reason.RATE_LIMITED,
+        verdict.Reason.COLD,
         verdict.Reason.QUEUE_FULL,
         verdict.Reason.WOULD_MISS_DEADLINE,
         verdict.Reason.DRAINING,
@@ -42,6 +43,8 @@
     }
 )
 
+_LIMIT_REASONS = frozenset({verdict.Reason.RATE_LIMITED, verdict.Reason.COLD})
+
 # Longest wait for a slot of the first attempts, as a share of the route's
 # latency estimate.
 _WAIT_RATIOS = (0.1, 0.1, 0.2, 0.3)
@@ -183,6 +186,14 @@
     return result.reason in _REROUTE_REASONS
 
 
+def is_paced(result: verdict.Verdict) -> bool:
+    """Return True for a refusal by a limit that an upstream needs.
+
+    Such a limit is no failure, so no attempt after it uses the retry budget.
+    """
+    return result.reason in _LIMIT_REASONS
+
+
 def is_retryable(call: requests.Call, result: verdict.Verdict) -> bool:
     """Return True if sending again is safe and may succeed."""
     if result.reason in _NOT_RETRYABLE:
--- a/jasminebeam/routing/admission_estimates.py
+++ b/jasminebeam/routing/admission_estimates.py
@@ -70,7 +70,7 @@
         if sample is None or now_ms - state.sample_ms > MAX_SAMPLE_AGE_MS:
             continue
         if not state.has_room(now_ms) or (
-            state.limit_per_s is not None and state.sent_since_sample
+            state.is_limited and state.sent_since_sample
         ):
             continue
         load = sample.in_flight + sample.queued + state.sent_since_sample
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -78,14 +78,14 @@
     ) -> Choice:
         """Return the upstream for a hedge.
 
-        Upstreams that name a rate limit are left to requests that need them.
-        Upstreams of other regions are used if the own region has no other
-        one. The parameters are those of `choose`.
+        Upstreams that name a rate limit or are cold are left to requests
+        that need them. Upstreams of other regions are used if the own region
+        has no other one. The parameters are those of `choose`.
         """
         unlimited = [
             state
             for state in self._candidates(service, tried, now_ms)
-            if state.limit_per_s is None
+            if not state.is_limited
         ]
         unlimited = [
             state for state in unlimited if state.same_region
@@ -104,7 +104,7 @@
     ) -> list[table.UpstreamState]:
         """Return the upstreams for the next attempt, cheapest first.
 
-        Those whose rate limit is known to be used up come last.
+        Those whose limit is known to be used up come last.
 
         The list is empty if the policy of the service does not compare
         costs. The parameters are those of `choose`.
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -28,6 +28,7 @@
         verdict.Reason.QUEUE_FULL,
         verdict.Reason.BUSY,
         verdict.Reason.RATE_LIMITED,
+        verdict.Reason.COLD,
         verdict.Reason.WOULD_MISS_DEADLINE,
         verdict.Reason.DEADLINE,
         verdict.Reason.SHED,
@@ -55,11 +56,13 @@
     """
 
     __slots__ = (
+        'cold_until_ms',
         'consecutive_failures',
         'ejected_until_ms',
         'ejections',
         'failure_rate',
         'has_measured_round_trip',
+        'is_cold',
         'limit_per_s',
         'limited_until_ms',
         'member',
@@ -95,6 +98,9 @@
         # Rate limit that the upstream names; None if there is none.
         self.limit_per_s: float | None = None
         self.limited_until_ms = 0.0
+        # True while the upstream is cold; it then has no room until later.
+        self.is_cold = False
+        self.cold_until_ms = 0.0
 
     def replace_member(self, member: upstreams.Member) -> None:
         """Replace the membership record.
@@ -104,6 +110,7 @@
         if member.incarnation != self.member.incarnation:
             self.ejected_until_ms = 0.0
             self.clear_notice()
+            self.clear_cold()
             self.sample = None
         elif member.phase is not self.member.phase:
             self.sample = None
@@ -130,9 +137,24 @@
         self.limit_per_s = None
         self.limited_until_ms = 0.0
 
+    def on_cold(self, notice: messages.ColdNotice, now_ms: float) -> None:
+        """Record that the upstream is cold, and when it has room again."""
+        self.is_cold = True
+        self.cold_until_ms = now_ms + notice.wait_us / 1_000
+
+    def clear_cold(self) -> None:
+        """Record that the upstream is warm."""
+        self.is_cold = False
+        self.cold_until_ms = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """True while the upstream takes requests at a limited rate only."""
+        return self.is_cold or self.limit_per_s is not None
+
     def has_room(self, now_ms: float) -> bool:
-        """Return False while the rate limit is known to be used up."""
-        return now_ms >= self.limited_until_ms
+        """Return False while a limit is known to be used up."""
+        return now_ms >= max(self.limited_until_ms, self.cold_until_ms)
 
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the round trip time that a ping has measured."""
--- a/jasminebeam/sidecar/execution.py
+++ b/jasminebeam/sidecar/execution.py
@@ -78,6 +78,8 @@
         )
         # `Call.request_id` of each request at the upstream.
         self.running: set[str] = set()
+        # Called when a request has started.
+        self.on_started: typing.Callable[[], None] = lambda: None
 
     def accept(
         self,
@@ -113,7 +115,7 @@
         now_ms = self._clock()
         if (
             not self._upstream.suspended
-            and not self._slots.limit.wait_ms(0, now_ms)
+            and not self._slots.pace_wait_ms(0, now_ms)
             and self._host_speed.needs_check(now_ms, ESTIMATE_MAX_AGE_MS)
         ):
             self._polling.add_query(
@@ -205,7 +207,7 @@
         if refused is not None:
             self._finish(request_id, refused, now_ms)
             return
-        if not self._slots.limit.wait_ms(0, now_ms) and (
+        if not self._slots.pace_wait_ms(0, now_ms) and (
             self._host_speed.needs_check(now_ms)
         ):
             self._polling.add_request(request_id)
@@ -263,6 +265,11 @@
             self.answer_query(*query, now_ms)
         for request_id in self._polling.take_requests():
             self._offer_if_ready(request_id, now_ms)
+        self.fill()
+
+    def fill(self) -> None:
+        """Start the queued requests for which there is capacity."""
+        now_ms = self._clock()
         released = self._slots.fill(
             self._host_speed.relative_slowness(now_ms), now_ms
         )
@@ -290,9 +297,7 @@
             reason = verdict.Reason.DEADLINE
             self._finish(request_id, verdict.not_run(reason), now_ms)
         for request_id in dropped.wait_expired:
-            reason = verdict.Reason.BUSY
-            if self._slots.limit.wait_ms(0, now_ms):
-                reason = verdict.Reason.RATE_LIMITED
+            reason = self._slots.expiry_reason(now_ms)
             self._finish(request_id, verdict.not_run(reason), now_ms)
 
     def _start(self, request_id: registry.RequestId, now_ms: float) -> None:
@@ -318,6 +323,7 @@
         active.task.add_done_callback(
             functools.partial(self._complete, request_id)
         )
+        self.on_started()
 
     def _complete(
         self,
@@ -401,10 +407,13 @@
         }
 
     def _limit_inputs(self, now_ms: float) -> dict[str, object]:
+        inputs: dict[str, object] = {}
         limit = self._slots.limit
-        if not limit.paced:
-            return {}
-        return {
-            'limit_per_s': limit.per_s,
-            'limit_wait_ms': round(limit.wait_ms(0, now_ms), 1),
-        }
+        if limit.paced:
+            inputs['limit_per_s'] = limit.per_s
+            inputs['limit_wait_ms'] = round(limit.wait_ms(0, now_ms), 1)
+        cold = self._slots.cold
+        if cold.enabled:
+            inputs['cold'] = cold.state(now_ms).value
+            inputs['cold_wait_ms'] = round(cold.wait_ms(0, now_ms), 1)
+        return inputs
--- a/jasminebeam/sidecar/ingress_replies.py
+++ b/jasminebeam/sidecar/ingress_replies.py
@@ -18,14 +18,14 @@
 class IngressReplies:
     """Sends answers and refusals, each with a load sample.
 
-    A notice of what the upstream states about itself precedes each sample.
+    Notices of what the upstream states about itself precede each sample.
 
     Parameters
     ----------
     sample : callable
         Returns the load at a monotonic time in ms.
-    statement : callable
-        Returns the notice at a monotonic time in ms; None if there is none.
+    notices : callable
+        Returns the notices at a monotonic time in ms.
     counters : Metrics
         Counts the refusals.
     clock : callable
@@ -35,12 +35,12 @@
     def __init__(
         self,
         sample: typing.Callable[[float], upstreams.LoadSample],
-        statement: typing.Callable[[float], messages.UpstreamNotice | None],
+        notices: typing.Callable[[float], typing.Iterable[messages.Message]],
         counters: metrics.Metrics,
         clock: typing.Callable[[], float],
     ) -> None:
         self._sample = sample
-        self._statement = statement
+        self._notices = notices
         self._counters = counters
         self._clock = clock
 
@@ -79,10 +79,9 @@
         )
 
     def sample(self, send: Send) -> upstreams.LoadSample:
-        """Send the notice if there is one; return the load sample."""
+        """Send the notices; return the load sample."""
         now_ms = self._clock()
-        notice = self._statement(now_ms)
-        if notice is not None:
+        for notice in self._notices(now_ms):
             send(notice)
         return self._sample(now_ms)
 
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -12,6 +12,7 @@
 from jasminebeam.peering import messages
 from jasminebeam.retries import registry
 from jasminebeam.sidecar import active_requests
+from jasminebeam.sidecar import cold_checks
 from jasminebeam.sidecar import condition
 from jasminebeam.sidecar import execution
 from jasminebeam.sidecar import ingress_replies
@@ -21,6 +22,7 @@
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
+    from jasminebeam.model import routes
     from jasminebeam.telemetry import events
     from jasminebeam.telemetry import metrics
     from jasminebeam.upstreams import client
@@ -80,7 +82,7 @@
             clock,
         )
         self._replies = ingress_replies.IngressReplies(
-            self.sample, self._statement, counters, clock
+            self.sample, self._notices, counters, clock
         )
         self._execution = execution.Execution(
             self._slots,
@@ -93,6 +95,15 @@
             counters,
             clock,
         )
+        self._cold_checks = cold_checks.ColdChecks(
+            self._slots,
+            self.check_health,
+            self._execution.fill,
+            log,
+            counters,
+            clock,
+        )
+        self._execution.on_started = self._cold_checks.wake
         self._handlers = {
             messages.Hello: self._on_hello,
             messages.Request: self._on_request,
@@ -126,12 +137,23 @@
         if not same_upstream:
             self._polling.on_other_upstream()
         self._slots.slots = announcement.slots
+        self._cold_checks.on_attach(announcement, same_upstream)
         return previous
 
     def update_start(self, announcement: upstreams.Announcement) -> None:
         """Record the start of an upstream whose start was unknown."""
         self._upstream.update_start(announcement)
 
+    def set_cold_starts(
+        self, cold_starts: typing.Iterable[routes.ColdStart]
+    ) -> None:
+        """Put the cold-start rates of a configuration in force."""
+        self._cold_checks.set_cold_starts(cold_starts)
+
+    def on_announced_cold(self, cold_ms: float) -> None:
+        """Record for how long the upstream announces to stay cold."""
+        self._cold_checks.on_announced(cold_ms)
+
     def drain(self) -> None:
         """Refuse new and waiting requests; let running ones finish."""
         if self.phase is upstreams.Phase.READY:
@@ -141,6 +163,7 @@
     def detach(self) -> None:
         """Remove the upstream, because another one has its address."""
         self._upstream.detach()
+        self._cold_checks.on_detach()
         self._execution.refuse_waiting(verdict.Reason.NOT_READY)
 
     def stop(self) -> None:
@@ -211,7 +234,14 @@
             return None
         if self._upstream.resume_unchecked():
             self.on_availability()
-        return await self._upstream.client.check_health()
+        announcement = self.announcement
+        sent_ms = self._clock()
+        self._cold_checks.on_sent()
+        health = await self._upstream.client.check_health()
+        if announcement is not None:
+            own = _answer_of(announcement, health)
+            self._cold_checks.on_result(sent_ms, own)
+        return health
 
     def on_report(self, report: upstreams.LoadReport) -> None:
         """Record the load that the upstream reports."""
@@ -293,6 +323,7 @@
 
     async def close(self) -> None:
         """Close the connections to the upstream."""
+        self._cold_checks.close()
         if self._upstream.client is not None:
             await self._upstream.client.close()
 
@@ -374,5 +405,24 @@
         state = self._execution.revoke(request_id, self._clock())
         self._execution.answer_from_state(request_id, state, send)
 
-    def _statement(self, now_ms: float) -> messages.UpstreamNotice | None:
-        return self._condition.statement(self.announcement, now_ms)
+    def _notices(self, now_ms: float) -> list[messages.Message]:
+        """Return what ingress nodes must know beside the load."""
+        notices: list[messages.Message] = []
+        statement = self._condition.statement(self.announcement, now_ms)
+        if statement is not None:
+            notices.append(statement)
+        cold = self._slots.cold
+        if cold.is_paced(now_ms):
+            wait_us = int(cold.wait_ms(self.queued, now_ms) * 1_000)
+            notices.append(messages.ColdNotice(cold.per_s, wait_us))
+        return notices
+
+
+def _answer_of(
+    announcement: upstreams.Announcement, health: upstreams.Health | None
+) -> upstreams.Health | None:
+    """Return a health response unless another upstream has sent it."""
+    own_id = announcement.upstream_id
+    if health is None or not own_id or health.upstream_id in ('', own_id):
+        return health
+    return None
--- a/jasminebeam/sidecar/slowness_polling.py
+++ b/jasminebeam/sidecar/slowness_polling.py
@@ -44,7 +44,7 @@
     Parameters
     ----------
     slot_queue : SlotQueue
-        Requests that wait for a slot or for the rate limit.
+        Requests that wait for a slot or for a limit.
     speed : HostSpeed
         Says whether a newer report is needed.
     check_health : callable
@@ -125,7 +125,7 @@
         while self._requests or self._queries or self._slots.queued:
             self._wanted.clear()
             now_ms = self._clock()
-            limit_wait_s = self._slots.limit.wait_ms(0, now_ms) / 1_000
+            limit_wait_s = self._slots.pace_wait_ms(0, now_ms) / 1_000
             if not limit_wait_s and self._host_speed.needs_check(now_ms):
                 await self._check_slowness(now_ms)
             self._on_polled()
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -75,6 +75,18 @@
     UPSTREAM_RESUMED = EventKind(
         213, logbook.INFO, 'upstream back in service: responses usable'
     )
+    UPSTREAM_COLD = EventKind(
+        214, logbook.WARNING, 'upstream is cold: requests are paced'
+    )
+    UPSTREAM_WARM = EventKind(215, logbook.INFO, 'upstream is warm')
+    UPSTREAM_SILENT = EventKind(
+        216,
+        logbook.WARNING,
+        'upstream may be cold: no response to health checks',
+    )
+    COLD_MALFORMED = EventKind(
+        217, logbook.WARNING, 'malformed time until the end of a cold start'
+    )
     LINK_LOST = EventKind(300, logbook.WARNING, 'peer connection lost')
     REQUEST_REVOKED = EventKind(301, logbook.INFO, 'request revoked')
     FRAME_REFUSED = EventKind(302, logbook.WARNING, 'peer frame refused')
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -83,6 +83,12 @@
             'Connections to upstreams closed for what they sent, by reason.',
             'reason',
         )
+        self.cold_checks = self._counter(
+            'cold_checks',
+            'Health checks of an upstream whose service has a cold-start '
+            'rate.',
+            '',
+        )
         self.latency = self._histogram(
             'request_seconds', 'Time to answer a caller.', 'service'
         )
@@ -137,6 +143,11 @@
             'Rate limit that the upstream names; NaN if there is none.',
         )
         self.upstream_limit.set(math.nan)
+        self.upstream_cold = self._gauge(
+            'upstream_cold',
+            '1 while requests are paced because the upstream is or may be '
+            'cold.',
+        )
         self.members = prometheus_client.Gauge(
             'jasminebeam_members',
             'Known members by status.',
--- a/jasminebeam/upstreams/dialect.py
+++ b/jasminebeam/upstreams/dialect.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import multidict
+
 from jasminebeam import inputs
 from jasminebeam.model import requests
 from jasminebeam.model import upstreams
@@ -16,6 +18,8 @@
 LIMIT_HEADER = 'Jasminebeam-Limit'
 # "1" in each answer of an upstream that is about to stop.
 LEAVING_HEADER = 'Jasminebeam-Leaving'
+# Time in ms for which an upstream stays cold, in health responses.
+COLD_HEADER = 'Jasminebeam-Cold'
 
 
 class UpstreamDialect(typing.Protocol):
@@ -52,7 +56,10 @@
         """Return the path of the health check; empty if there is none."""
 
     def read_health(
-        self, status: int, headers: HeaderMap, body: bytes
+        self,
+        status: int,
+        headers: multidict.MultiMapping[str],
+        body: bytes,
     ) -> upstreams.Health | None:
         """Return the result of a health check.
 
@@ -102,11 +109,15 @@
         return announcement.load_path
 
     def read_health(
-        self, status: int, headers: HeaderMap, body: bytes
+        self,
+        status: int,
+        headers: multidict.MultiMapping[str],
+        body: bytes,
     ) -> upstreams.Health:
         """Return the health, and the number of running requests."""
+        report = None
         counts = inputs.parse_counts(body.decode('latin-1'))
-        if counts is None or len(counts) != 1:
-            return upstreams.Health(status == 200)
-        report = upstreams.LoadReport(counts[0], 0, 0)
-        return upstreams.Health(status == 200, report=report)
+        if counts is not None and len(counts) == 1:
+            report = upstreams.LoadReport(counts[0], 0, 0)
+        cold_ms = notices.parse_cold_ms(headers.getall(COLD_HEADER, ()))
+        return upstreams.Health(status == 200, report=report, cold_ms=cold_ms)
--- a/jasminebeam/upstreams/notices.py
+++ b/jasminebeam/upstreams/notices.py
@@ -8,6 +8,7 @@
 
 import multidict
 
+from jasminebeam import inputs
 from jasminebeam.model import upstreams
 
 MAX_TEXT_CHARS = 64
@@ -64,7 +65,7 @@
     limits = []
     malformed = ''
     for text in _split(limit_texts):
-        limit_per_s = _parse_limit(text.strip())
+        limit_per_s = _parse_decimal(text.strip())
         if limit_per_s is None:
             malformed = text.strip()[:MAX_TEXT_CHARS] or 'empty'
         else:
@@ -76,13 +77,39 @@
     )
 
 
+def parse_cold_ms(texts: typing.Sequence[str]) -> float | None:
+    """Return for how many ms an upstream stays cold; 0 if it is warm.
+
+    If several headers differ, the longest time counts.
+
+    Returns
+    -------
+    float or None
+        None if a value is no number, or above the longest valid duration.
+
+    Examples
+    --------
+    >>> parse_cold_ms(['1500']), parse_cold_ms([])
+    (1500.0, 0.0)
+    >>> parse_cold_ms(['soon']) is None
+    True
+    """
+    longest_ms = 0.0
+    for text in _split(texts):
+        cold_ms = _parse_decimal(text.strip())
+        if cold_ms is None or cold_ms > inputs.MAX_DURATION_MS:
+            return None
+        longest_ms = max(longest_ms, cold_ms)
+    return longest_ms
+
+
 def _split(texts: typing.Sequence[str]) -> typing.Iterator[str]:
     for text in texts:
         yield from text.split(',')
 
 
-def _parse_limit(text: str) -> float | None:
-    """Return the requests per second in a text; None if it has no number."""
+def _parse_decimal(text: str) -> float | None:
+    """Return the decimal number in a text; None if it has none."""
     if len(text) > MAX_TEXT_CHARS or not _DECIMAL.fullmatch(text):
         return None
     return float(text)
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -32,6 +32,7 @@
     QUEUE_FULL = 'queue_full'
     BUSY = 'busy'
     RATE_LIMITED = 'rate_limited'
+    COLD = 'cold'
     WOULD_MISS_DEADLINE = 'would_miss_deadline'
     DEADLINE = 'deadline'
     CANCELLED = 'cancelled'
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -12,6 +12,7 @@
 from jasminebeam.ingress import admission_client
 from jasminebeam.ingress import dispatcher
 from jasminebeam.model import requests
+from jasminebeam.model import routes as routes_model
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 from jasminebeam.peering import codec
@@ -44,6 +45,13 @@
             [upstreams.NoticeSource, upstreams.Notice], None
         ]
         self.arrivals_ms: list[float] = []
+        # Virtual time until which the upstream is cold, and what arrives
+        # until then.
+        self.cold_until_ms = 0.0
+        self.cold_arrivals_ms: list[float] = []
+        # Time that a health check takes; None without health responses.
+        self.check_s: float | None = None
+        self.checks_ms: list[float] = []
 
     async def run(
         self, call: requests.Call, timeout_ms: float
@@ -51,7 +59,10 @@
         """Run a request according to the configured behaviour."""
         if self.behaviour == 'refuse':
             return verdict.not_run(verdict.Reason.CONNECT_FAILED)
-        self.arrivals_ms.append(1e3 * asyncio.get_running_loop().time())
+        now_ms = 1e3 * asyncio.get_running_loop().time()
+        self.arrivals_ms.append(now_ms)
+        if now_ms < self.cold_until_ms:
+            self.cold_arrivals_ms.append(now_ms)
         if self.behaviour == 'shed':
             self.on_notice(upstreams.NoticeSource.REFUSAL, self.notice)
             return verdict.not_run(verdict.Reason.SHED)
@@ -71,8 +82,16 @@
         return verdict.answered(answer)
 
     async def check_health(self) -> upstreams.Health | None:
-        """Return no health information."""
-        return None
+        """Return whether the upstream is cold, or no health information."""
+        if self.check_s is None:
+            return None
+        now_ms = 1e3 * asyncio.get_running_loop().time()
+        self.checks_ms.append(now_ms)
+        await asyncio.sleep(self.check_s / 2)
+        now_ms = 1e3 * asyncio.get_running_loop().time()
+        cold_ms = max(0.0, self.cold_until_ms - now_ms)
+        await asyncio.sleep(self.check_s / 2)
+        return upstreams.Health(True, cold_ms=cold_ms)
 
     async def close(self) -> None:
         """Do nothing."""
@@ -141,12 +160,18 @@
     """One sidecar and the connections to it."""
 
     def __init__(
-        self, cluster: SimulatedCluster, member: upstreams.Member
+        self,
+        cluster: SimulatedCluster,
+        member: upstreams.Member,
+        cold_per_s: float,
     ) -> None:
         self.cluster = cluster
+        self._cold_per_s = cold_per_s
         self.member = member
         self.upstream = FakeUpstream()
         self.upstream.on_notice = self._forward_notice
+        if cold_per_s:
+            self.upstream.check_s = 0.002
         self.faults = Faults()
         self.connections: list[FakeConnection] = []
         self.held_requests: list[tuple[FakeConnection, bytes]] = []
@@ -209,6 +234,15 @@
         announcement = upstreams.Announcement(
             self.member.service, 1, slots=self.member.slots
         )
+        if self._cold_per_s:
+            announcement = dataclasses.replace(announcement, load_path='/load')
+            entry = routes_model.ColdStart('fees', 3_000, self._cold_per_s)
+            created.set_cold_starts((entry,))
+            # Health checks need a loop that runs.
+            self.cluster.loop.call_soon(
+                created.attach, announcement, self.upstream
+            )
+            return created
         created.attach(announcement, self.upstream)
         created.adopt_pending_notice()
         return created
@@ -280,8 +314,21 @@
         slots: int = 2,
         domain: str = 'a',
         region: str = 'r',
+        cold_per_s: float = 0.0,
     ) -> Server:
-        """Add a node with an upstream of the service ``fees``."""
+        """Add a node with an upstream of the service ``fees``.
+
+        Parameters
+        ----------
+        node_id : str
+            Name of the node.
+        slots : int
+            Slots of the upstream.
+        domain, region : str
+            Location of the node.
+        cold_per_s : float
+            Cold-start rate of the service; 0 if it has none.
+        """
         member = upstreams.Member(
             node_id=node_id,
             address=node_id,
@@ -293,7 +340,7 @@
             service='fees',
             slots=slots,
         )
-        server = Server(self, member)
+        server = Server(self, member, cold_per_s)
         self.servers[node_id] = server
         self.routes.update(member)
         return server
