Read evacuated failure domains from the store and spread them

Operators evacuate a failure domain by a key below the prefix that the configuration has on the users' platform, or by one key of the own store. The watch of the configuration covers both: the prefix is wider, the calls are the same. Stores pass deletions on, and mark the last change of a response, at which the set is complete.

Sets travel in two new messages, and only once an evacuation was known. A new set is pushed to four members; a revision ahead of each heartbeat repairs what is lost. A node that asks for routes gets the evacuations ahead of them, from the same budget. A node that has read the store raises the revision over that of a peer that has missed a withdrawal.

Ruled out: a further field of heartbeats, which costs a byte in each, and a set of keys in the own store, which has no deletion.

--- a/bench/standins/platform_store.py
+++ b/bench/standins/platform_store.py
@@ -112,6 +112,13 @@
             self._changed.notify_all()
         return self._revision
 
+    async def delete(self, key: str) -> int:
+        """Delete a key and return the revision of the store."""
+        async with self._changed:
+            self._delete(key)
+            self._changed.notify_all()
+        return self._revision
+
     def value(self, key: str) -> bytes | None:
         """Return the value of a key; None if it does not exist."""
         self._expire_leases()
--- a/jasminebeam/configuration/relay.py
+++ b/jasminebeam/configuration/relay.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from jasminebeam.configuration import changes
+from jasminebeam.configuration import evacuation_key
 from jasminebeam.routing import subset
 from jasminebeam.store import availability
 from jasminebeam.store import store
@@ -106,6 +107,8 @@
     log : EventLog
         Receives acquired and lost leases, outages of the store and refused
         values.
+    evacuations : KeyReader
+        Receives what the store holds, for the evacuations.
     """
 
     def __init__(
@@ -116,7 +119,9 @@
         on_revision: typing.Callable[[services.ServiceRevision], None],
         generator: random.Random,
         log: events.EventLog,
+        evacuations: evacuation_key.KeyReader,
     ) -> None:
+        self._evacuations = evacuations
         self._store = backend
         self._options = options
         self._is_candidate = is_candidate
@@ -143,12 +148,11 @@
 
     async def load_services(self) -> bool:
         """Read all services once; return False if the store is unavailable."""
-        listing = await self._store.list(changes.SERVICES_PREFIX)
+        listing = await self._store.list(evacuation_key.OWN_PREFIX)
         self._availability.record(listing)
         if not isinstance(listing, result.Success):
             return False
-        for item in listing.unwrap().items:
-            self._apply(item)
+        self._apply_listing(listing.unwrap())
         return True
 
     async def _acquire(self) -> int:
@@ -220,19 +224,27 @@
 
     async def _watch(self) -> None:
         while True:
-            listing = await self._store.list(changes.SERVICES_PREFIX)
+            listing = await self._store.list(evacuation_key.OWN_PREFIX)
             self._availability.record(listing)
             if isinstance(listing, result.Success):
                 found = listing.unwrap()
-                for item in found.items:
-                    self._apply(item)
+                self._apply_listing(found)
                 async for item in self._store.watch(
-                    changes.SERVICES_PREFIX, found.revision + 1
+                    evacuation_key.OWN_PREFIX, found.revision + 1
                 ):
+                    self._evacuations.on_change(item)
                     self._apply(item)
             await asyncio.sleep(RETRY_MIN_S * (0.5 + self._generator.random()))
 
+    def _apply_listing(self, listing: store.Listing) -> None:
+        # Evacuations first: with services in force a node sends requests.
+        self._evacuations.on_listing(listing)
+        for item in listing.items:
+            self._apply(item)
+
     def _apply(self, item: store.KeyValue) -> None:
+        if item.deleted or not item.key.startswith(changes.SERVICES_PREFIX):
+            return
         try:
             revision = changes.revision_of(item)
         except (ValueError, IndexError, RecursionError) as error:
--- a/jasminebeam/configuration/route_watch.py
+++ b/jasminebeam/configuration/route_watch.py
@@ -1,9 +1,10 @@
-"""Watch of the key that holds the route set."""
+"""Watch of the keys that hold the route set and the evacuations."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import typing
 
@@ -14,6 +15,7 @@
 from jasminebeam.telemetry import events
 
 if typing.TYPE_CHECKING:
+    from jasminebeam.configuration import evacuation_reader
     from jasminebeam.model import routes
     from jasminebeam.store import availability
 
@@ -33,6 +35,22 @@
 Decode = typing.Callable[[bytes], 'result.Result[routes.RouteSet, str]']
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuations:
+    """Keys of evacuations that are read and watched with the route set.
+
+    Parameters
+    ----------
+    prefix : str
+        Common beginning of the keys of the route set and the evacuations.
+    reader : EvacuationReader
+        Receives what the store holds under that prefix.
+    """
+
+    prefix: str
+    reader: evacuation_reader.EvacuationReader
+
+
 class RouteWatch:
     """Reads the route set and watches its changes.
 
@@ -53,6 +71,8 @@
         Source of jitter.
     log : EventLog
         Receives refused values and watches that are given up.
+    evacuated : Evacuations or None
+        Evacuations that are read by the same calls; None for the key alone.
     """
 
     def __init__(
@@ -64,9 +84,12 @@
         availability_log: availability.AvailabilityLog,
         generator: random.Random,
         log: events.EventLog,
+        evacuated: Evacuations | None = None,
     ) -> None:
         self._store = backend
         self._key = key
+        self._evacuated = evacuated
+        self._prefix = key if evacuated is None else evacuated.prefix
         self._decode = decode
         self._on_routes = on_routes
         self._availability = availability_log
@@ -119,11 +142,15 @@
 
         The result is 0 if the store is unavailable.
         """
-        listing = await self._store.list(self._key)
+        listing = await self._store.list(self._prefix)
         self._availability.record(listing)
         if not isinstance(listing, result.Success):
             return 0
         found = listing.unwrap()
+        # A node is ready once it has routes, and must not send a request to
+        # an evacuated domain then.
+        if self._evacuated is not None:
+            self._evacuated.reader.on_listing(found)
         for item in found.items:
             self._apply(item)
         return found.revision
@@ -197,13 +224,26 @@
         return False
 
     async def _apply_changes(self, from_revision: int) -> None:
-        async for item in self._store.watch(self._key, from_revision):
+        changes: list[store.KeyValue] = []
+        async for item in self._store.watch(self._prefix, from_revision):
+            changes.append(item)
+            if item.more:
+                continue
+            self._apply_response(changes)
+            changes = []
+            await asyncio.sleep(WATCH_PAUSE_S * self._jitter())
+
+    def _apply_response(self, changes: list[store.KeyValue]) -> None:
+        """Apply all changes that one response of the store contains."""
+        for item in changes:
             self._seen_revision = max(self._seen_revision, item.revision)
+        if self._evacuated is not None:
+            self._evacuated.reader.on_changes(changes)
+        for item in changes:
             self._apply(item)
-            await asyncio.sleep(WATCH_PAUSE_S * self._jitter())
 
     def _apply(self, item: store.KeyValue) -> None:
-        if item.key != self._key:
+        if item.key != self._key or item.deleted:
             return
         decoded = self._decode(item.value)
         problem = ''
--- a/jasminebeam/configuration/route_watcher.py
+++ b/jasminebeam/configuration/route_watcher.py
@@ -118,6 +118,8 @@
         Source of jitter and of the choice of seeds.
     log : EventLog
         Receives refused values and outages of the store.
+    evacuated : Evacuations or None
+        Evacuations that are read by the same calls.
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         clock: typing.Callable[[], float],
         generator: random.Random,
         log: events.EventLog,
+        evacuated: route_watch.Evacuations | None = None,
     ) -> None:
         self._options = options
         self._on_routes = on_routes
@@ -152,6 +155,7 @@
             self._availability,
             generator,
             log,
+            evacuated,
         )
         self._keeper = watch_keeper.WatchKeeper(
             self._watch,
--- a/jasminebeam/membership/effects.py
+++ b/jasminebeam/membership/effects.py
@@ -6,6 +6,7 @@
 import typing
 
 if typing.TYPE_CHECKING:
+    from jasminebeam.model import evacuations as evacuations_model
     from jasminebeam.model import routes
     from jasminebeam.model import services
     from jasminebeam.model import upstreams
@@ -40,6 +41,8 @@
         Whence that set came: `STORE_SOURCE` of `route_spread`, the first
         peer that announced its revision, or `PEER_SOURCE` if no heartbeat
         had announced it.
+    evacuations : Evacuations or None
+        Evacuated failure domains that have come into force.
     refuted : bool
         True if this node has refuted a record about itself.
     unreachable, recovered : frozenset of str
@@ -55,6 +58,7 @@
     )
     route_set: routes.RouteSet | None = None
     routes_source: str = ''
+    evacuations: evacuations_model.Evacuations | None = None
     refuted: bool = False
     unreachable: frozenset[str] = frozenset()
     recovered: frozenset[str] = frozenset()
--- a/jasminebeam/membership/gossip.py
+++ b/jasminebeam/membership/gossip.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from jasminebeam.configuration import evacuations
 from jasminebeam.membership import anti_entropy
 from jasminebeam.membership import detector
 from jasminebeam.membership import domains
 from jasminebeam.membership import effects as effects_module
+from jasminebeam.membership import evacuation_spread
 from jasminebeam.membership import options as options_module
 from jasminebeam.membership import partners
 from jasminebeam.membership import route_spread
@@ -48,6 +50,9 @@
         Chooses gossip partners.
     options : Options
         Timing and limits.
+    evacuations_in_force : EvacuationDirectory or None
+        Evacuated failure domains; received sets are applied to it. None for
+        one of its own.
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         seeds: typing.Sequence[str],
         generator: random.Random,
         options: options_module.Options,
+        evacuations_in_force: evacuations.EvacuationDirectory | None = None,
     ) -> None:
         self.local_member = local_member
         self.members = table.MemberTable()
@@ -79,6 +85,11 @@
         self._partners = partners.PartnerChooser(
             local_member, self.members, generator, options.partner_rounds
         )
+        self.evacuations = evacuation_spread.EvacuationSpread(
+            evacuations_in_force or evacuations.EvacuationDirectory(),
+            self.members,
+            self._partners,
+        )
         self._round = 0
         self._nonce = 0
         self._last_equal_round = 0
@@ -142,15 +153,7 @@
     def query_newer_routes(
         self, peer_revision: int, node_id: str = ''
     ) -> messages.RoutesQuery | None:
-        """Return a query for the routes that a node has announced, if newer.
-
-        Parameters
-        ----------
-        peer_revision : int
-            Revision of the peer's route set.
-        node_id : str
-            Node that has announced it; empty if unknown.
-        """
+        """Return what `RouteSpread.query_newer` returns."""
         return self._routes.query_newer(peer_revision, node_id)
 
     def adopt_routes(self, new: routes.RouteSet) -> effects_module.Effects:
@@ -218,7 +221,7 @@
                 )
                 self._apply_revisions(message.revisions, effects)
             case _:
-                self._on_routes_message(message, effects)
+                self._on_configuration(message, now_ms, effects)
         return effects
 
     def _on_heartbeat(
@@ -228,6 +231,7 @@
         effects: effects_module.Effects,
     ) -> None:
         self._merge_updates(message, now_ms, effects)
+        effects.replies += self.evacuations.digest()
         effects.replies.append(
             messages.HeartbeatAck(
                 *self._heartbeat_fields(message.nonce, message.node_id)
@@ -307,6 +311,8 @@
         effects: effects_module.Effects,
     ) -> None:
         self._merge_members((message.sender,), now_ms, effects)
+        # Ahead of the configuration: with it the peer may send requests.
+        effects.replies += self.evacuations.update()
         self._routes.reply_if_newer(message.routes_revision, effects)
         effects.replies += anti_entropy.reply_to_request(
             self.members, self._directory, message
@@ -409,14 +415,21 @@
         for node_id in targets:
             self._queue_heartbeat(node_id, effects)
 
-    def _on_routes_message(
-        self, message: messages.Message, effects: effects_module.Effects
+    def _on_configuration(
+        self,
+        message: messages.Message,
+        now_ms: float,
+        effects: effects_module.Effects,
     ) -> None:
         if isinstance(message, messages.RoutesQuery):
+            # Ahead of the routes: with them the peer may send requests.
+            effects.replies += self.evacuations.update()
             self._routes.reply_if_newer(message.revision, effects)
         elif isinstance(message, messages.RoutesReply):
             self._routes.on_reply(message.route_set, effects)
             self._push_new_routes(effects)
+        else:
+            self.evacuations.receive(message, now_ms, effects)
 
     def _push_new_routes(self, effects: effects_module.Effects) -> None:
         if effects.route_set is not None:
@@ -427,11 +440,14 @@
     ) -> None:
         self._nonce += 1
         fields = self._heartbeat_fields(self._nonce, node_id)
-        effects.outgoing.append(
-            effects_module.Outgoing(
-                self.members.get(node_id).address, messages.Heartbeat(*fields)
+        address = self.members.get(node_id).address
+        effects.outgoing += [
+            effects_module.Outgoing(address, message)
+            for message in (
+                *self.evacuations.digest(),
+                messages.Heartbeat(*fields),
             )
-        )
+        ]
 
     def _heartbeat_fields(
         self, nonce: int, receiver: str
--- a/jasminebeam/membership/task.py
+++ b/jasminebeam/membership/task.py
@@ -21,6 +21,7 @@
 
 if typing.TYPE_CHECKING:
     from jasminebeam.configuration import directory
+    from jasminebeam.model import evacuations
     from jasminebeam.model import routes
     from jasminebeam.model import services
     from jasminebeam.peering import control
@@ -60,6 +61,8 @@
         Receives changes of membership.
     counters : Metrics
         Receives the number of members by status.
+    on_evacuations : callable
+        Receives the evacuated failure domains when they change.
     """
 
     def __init__(
@@ -73,6 +76,9 @@
         clock: typing.Callable[[], float],
         log: events.EventLog,
         counters: metrics.Metrics,
+        on_evacuations: typing.Callable[
+            [evacuations.Evacuations], None
+        ] = lambda current: None,
     ) -> None:
         self._state = state
         self._service_directory = service_directory
@@ -83,6 +89,7 @@
         self._clock = clock
         self._log = log
         self._counters = counters
+        self._on_evacuations = on_evacuations
         self._links: control.ControlLinks | None = None
         self.watch_reports = watch_reports.WatchReports()
         self._nonces = itertools.count(1)
@@ -270,6 +277,22 @@
         """Put a route set in force if newer; notify partners."""
         self._apply(self._state.adopt_routes(new))
 
+    def adopt_evacuations(
+        self, found: evacuations.Evacuations, listed: bool
+    ) -> None:
+        """Put the evacuated domains in the store in force if newer.
+
+        Parameters
+        ----------
+        found : Evacuations
+            Complete set in the store.
+        listed : bool
+            True if all keys were read, False after a change.
+        """
+        self._apply(
+            self._state.evacuations.adopt(found, listed, self._clock())
+        )
+
     def leave(self) -> None:
         """Notify partners that the local node leaves."""
         self._apply(self._state.leave(self._clock()))
@@ -383,10 +406,7 @@
                 and member.failure_domain == self.local_member.failure_domain
             ):
                 self._delegate_lost.set()
-        for revision in effects.revisions:
-            self._on_revision(revision)
-        if effects.route_set is not None:
-            self._on_routes(effects.route_set, effects.routes_source)
+        self._apply_configuration(effects)
         if effects.refuted:
             version = self.local_member.version
             self._log.write(events.Event.SELF_REFUTED, version=version)
@@ -397,6 +417,15 @@
         if effects.unreachable or effects.recovered:
             self._on_unreachable(self._state.domain_detector.unreachable)
 
+    def _apply_configuration(self, effects: effects_module.Effects) -> None:
+        # Evacuations first: a node is ready once it has routes.
+        if effects.evacuations is not None:
+            self._on_evacuations(effects.evacuations)
+        for revision in effects.revisions:
+            self._on_revision(revision)
+        if effects.route_set is not None:
+            self._on_routes(effects.route_set, effects.routes_source)
+
     def _log_member(self, member: upstreams.Member) -> None:
         event = _STATUS_EVENTS.get(member.status)
         if event is None and member.version == 1:
--- a/jasminebeam/native_adapter.py
+++ b/jasminebeam/native_adapter.py
@@ -8,6 +8,7 @@
 import typing
 
 from jasminebeam.callers import dialect as caller_dialect
+from jasminebeam.configuration import evacuation_key
 from jasminebeam.configuration import relay
 from jasminebeam.store import null
 from jasminebeam.upstreams import announcements
@@ -92,6 +93,9 @@
             node.membership.adopt_revision,
             node.generator,
             node.log,
+            evacuation_key.KeyReader(
+                node.membership.adopt_evacuations, node.log
+            ),
         )
         bootstrap = functools.partial(_bootstrap, node, backend, store_relay)
         return [bootstrap, store_relay.run]
--- a/jasminebeam/peering/control.py
+++ b/jasminebeam/peering/control.py
@@ -6,6 +6,7 @@
 import math
 import typing
 
+from jasminebeam.peering import evacuation_messages
 from jasminebeam.peering import links
 from jasminebeam.peering import messages
 from jasminebeam.retries import budget
@@ -20,6 +21,8 @@
 
 # Bulk transfers carry complete tables and route sets. They have a separate
 # budget and do not count against the budget of the other control messages.
+# Evacuations precede a route set, so they share its budget: a node must not
+# get routes without them.
 BULK_BYTES_PER_S = 1_000_000.0
 # Types whose receiver answers at once.
 _ANSWERED_TYPES = (messages.Heartbeat, messages.WatchReport)
@@ -28,6 +31,7 @@
     messages.SyncDetail,
     messages.SyncPull,
     messages.RoutesReply,
+    evacuation_messages.EvacuationsUpdate,
 )
 
 
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -7,6 +7,7 @@
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 from jasminebeam.peering import base
+from jasminebeam.peering import evacuation_messages
 from jasminebeam.peering import token_messages
 
 PROTOCOL_VERSION = 1
@@ -458,6 +459,8 @@
     | token_messages.TokenGrant
     | token_messages.TokenCollection
     | token_messages.TokenSurplus
+    | evacuation_messages.EvacuationsUpdate
+    | evacuation_messages.EvacuationsDigest
 )
 
 CONTROL_TYPES = (
@@ -475,4 +478,6 @@
     RoutesReply,
     WatchReport,
     WatchReportAck,
+    evacuation_messages.EvacuationsUpdate,
+    evacuation_messages.EvacuationsDigest,
 )
--- a/jasminebeam/platform/adapter.py
+++ b/jasminebeam/platform/adapter.py
@@ -6,7 +6,9 @@
 
 from jasminebeam import adapters
 from jasminebeam import clock
+from jasminebeam.configuration import evacuation_reader
 from jasminebeam.configuration import relay
+from jasminebeam.configuration import route_watch
 from jasminebeam.configuration import route_watcher
 from jasminebeam.configuration import seeds
 from jasminebeam import inputs
@@ -123,6 +125,14 @@
             clock.monotonic_ms,
             node.generator,
             node.log,
+            route_watch.Evacuations(
+                wire.OPERATORS_PREFIX,
+                evacuation_reader.EvacuationReader(
+                    wire.EVACUATIONS_PREFIX,
+                    node.membership.adopt_evacuations,
+                    node.log,
+                ),
+            ),
         )
         return [watcher.run, watcher.keep_watch, watcher.read_missing_routes]
 
--- a/jasminebeam/platform/store.py
+++ b/jasminebeam/platform/store.py
@@ -203,7 +203,7 @@
     async def watch(
         self, prefix: str, from_revision: int
     ) -> typing.AsyncIterator[store.KeyValue]:
-        """Yield the newest writes under a prefix, from a revision on.
+        """Yield the newest changes under a prefix, from a revision on.
 
         Ends when the connection is lost or the history is compacted.
         """
@@ -226,7 +226,8 @@
             if found is None:
                 return
             newest = {event.key: event for event in found.events}
-            for item in self._key_values(newest.values()):
+            changes = sorted(newest.values(), key=lambda event: event.revision)
+            for item in store.mark_last([*self._changes(changes)]):
                 yield item
             after = found.current_rev
 
@@ -274,6 +275,18 @@
         self._count('answer', 'malformed')
         return _UNAVAILABLE
 
+    def _changes(
+        self, items: typing.Iterable[_Item]
+    ) -> typing.Iterator[store.KeyValue]:
+        """Yield deletions besides the items that exist."""
+        for item in items:
+            if item.deleted:
+                yield store.KeyValue(
+                    item.key, b'', item.revision, deleted=True
+                )
+            else:
+                yield from self._key_values([item])
+
     def _key_values(
         self, items: typing.Iterable[_Item]
     ) -> typing.Iterator[store.KeyValue]:
--- a/jasminebeam/platform/wire.py
+++ b/jasminebeam/platform/wire.py
@@ -28,7 +28,11 @@
 READINESS_PATH = '/v1/ready'
 HEARTBEATS_PATH = '/v1/instances/'
 
+# Operators' keys; one watch with this prefix covers all of them.
+OPERATORS_PREFIX = 'op/'
 CONFIGURATION_KEY = 'op/config'
+# The name of the evacuated failure domain follows.
+EVACUATIONS_PREFIX = 'op/evacuate/'
 
 # Fourth value of the load header at normal speed; a slow host reports more.
 NORMAL_SLOWNESS_PERCENT = 100
--- a/jasminebeam/store/etcd.py
+++ b/jasminebeam/store/etcd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
 import math
 import typing
@@ -122,7 +123,7 @@
     async def watch(
         self, prefix: str, from_revision: int
     ) -> typing.AsyncIterator[store.KeyValue]:
-        """Yield each write to keys with a prefix, starting at a revision."""
+        """Yield each change of keys with a prefix, starting at a revision."""
         request = {
             'key': _encode(prefix),
             'range_end': _range_end(prefix),
@@ -252,6 +253,11 @@
     if not line.strip():
         return []
     events = json.loads(line).get('result', {}).get('events', [])
-    return [
-        _item(event['kv']) for event in events if event.get('type') != 'DELETE'
-    ]
+    return store.mark_last([_change(event) for event in events])
+
+
+def _change(event: dict[str, typing.Any]) -> store.KeyValue:
+    item = _item(event['kv'])
+    if event.get('type') != 'DELETE':
+        return item
+    return dataclasses.replace(item, value=b'', deleted=True)
--- a/jasminebeam/store/store.py
+++ b/jasminebeam/store/store.py
@@ -19,11 +19,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyValue:
-    """A key, its value and the revision of its last write."""
+    """A key, its value and the revision of its last write.
+
+    Parameters
+    ----------
+    key : str
+        The key.
+    value : bytes
+        The value; empty after a deletion.
+    revision : int
+        Revision of the last write, or of the deletion.
+    deleted : bool
+        True if the key was deleted; only watches yield such items.
+    more : bool
+        True if a watch yields further changes of the same response. Only
+        the last one completes the state at its revision.
+    """
 
     key: str
     value: bytes
     revision: int
+    deleted: bool = False
+    more: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,8 +121,22 @@
     def watch(
         self, prefix: str, from_revision: int
     ) -> typing.AsyncIterator[KeyValue]:
-        """Yield writes to keys with a prefix, starting at a revision.
+        """Yield changes of keys with a prefix, starting at a revision.
 
-        A write may be left out if the key has been written again. The
-        iterator ends when the connection is lost.
+        Changes are in the order of their revisions, and include deletions.
+        One may be left out if the key has been changed again. The iterator
+        ends when the connection is lost.
         """
+
+
+def mark_last(items: typing.Sequence[KeyValue]) -> list[KeyValue]:
+    """Return the changes of one response, all but the last with ``more``.
+
+    Examples
+    --------
+    >>> changes = mark_last([KeyValue('a', b'', 1), KeyValue('b', b'', 2)])
+    >>> [item.more for item in changes]
+    [True, False]
+    """
+    marked = [dataclasses.replace(item, more=True) for item in items[:-1]]
+    return [*marked, *items[-1:]]
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -116,6 +116,15 @@
     )
     WATCH_STARTED = EventKind(509, logbook.INFO, 'watch of the store started')
     WATCH_STOPPED = EventKind(510, logbook.INFO, 'watch of the store stopped')
+    DOMAIN_EVACUATED = EventKind(
+        511, logbook.WARNING, 'failure domain evacuated'
+    )
+    DOMAIN_RESTORED = EventKind(
+        512, logbook.INFO, 'evacuation of a failure domain withdrawn'
+    )
+    EVACUATION_REFUSED = EventKind(
+        513, logbook.WARNING, 'malformed evacuation in the store ignored'
+    )
     UPSTREAM_EJECTED = EventKind(
         600, logbook.WARNING, 'upstream ejected from selection'
     )
--- a/jasminebeam/telemetry/metrics.py
+++ b/jasminebeam/telemetry/metrics.py
@@ -146,6 +146,9 @@
         self.config_revision = self._gauge(
             'config_revision', 'Highest configuration revision in force.'
         )
+        self.evacuated_domains = self._gauge(
+            'evacuated_domains', 'Failure domains that are evacuated.'
+        )
         self.store_age = self._gauge(
             'store_age_seconds',
             'Time since the store last answered a node; -1 if unknown.',
--- a/tests/test_configuration/test_relay.py
+++ b/tests/test_configuration/test_relay.py
@@ -11,7 +11,9 @@
 from bench import virtual_time
 from jasminebeam.configuration import changes
 from jasminebeam.configuration import directory
+from jasminebeam.configuration import evacuation_key
 from jasminebeam.configuration import relay
+from jasminebeam.model import evacuations
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 from jasminebeam.telemetry import events
@@ -28,6 +30,8 @@
         self.loop = virtual_time.VirtualTimeLoop()
         self.store = fake_store.FakeStore()
         self.directories = []
+        # Sets of evacuations that the relays have read.
+        self.evacuations = []
         self.tasks = []
 
     def add_relay(self, name='a'):
@@ -41,6 +45,9 @@
             service_directory.apply,
             random.Random(1),
             log,
+            evacuation_key.KeyReader(
+                lambda found, listed: self.evacuations.append(found), log
+            ),
         )
         self.tasks.append(self.loop.create_task(tested.run()))
         return service_directory
@@ -174,3 +181,24 @@
     chosen = relay.candidates(members[0], members, 2)
     assert len(chosen) == 4
     assert all(int(name[1:]) % 2 == 0 for name in chosen)
+
+
+def test_evacuations_in_the_own_store_were_not_read(setup):
+    """A relay reads the key with the services, and follows its changes.
+
+    Services still come into force, and malformed values change nothing.
+    """
+    setup.write()
+    setup.store.write(evacuation_key.KEY, b'{"domains": ["b", "a"]}')
+    tested = setup.add_relay()
+    setup.run(1)
+    assert setup.evacuations[-1].domains == ('a', 'b')
+    assert tested.service('fees') == FEES
+    setup.store.write(evacuation_key.KEY, b'{"domains": 1}')
+    setup.run(1)
+    assert setup.evacuations[-1].domains == ('a', 'b')
+    setup.store.write(evacuation_key.KEY, b'{"domains": []}')
+    setup.run(1)
+    assert setup.evacuations[-1] == evacuations.Evacuations(
+        setup.store.revision
+    )
