Send no request to an evacuated failure domain

Sidecars of the domain refuse queued and arriving requests as not run with the reason 'evacuated'; running ones complete. Ingress nodes choose no upstream of the domain, and leave its members out of their subsets. A request is refused at once if no upstream is left. After the withdrawal a domain is offered to a rising part of the requests, since idle upstreams look cheapest to all nodes.

A request with an idempotency key whose owner is in the domain is refused: it must not move to an upstream that knows nothing of earlier attempts.

--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -15,6 +15,8 @@
 from jasminebeam.callers import http
 from jasminebeam import clock
 from jasminebeam.configuration import directory
+from jasminebeam.configuration import evacuation_enforcement
+from jasminebeam.configuration import evacuations
 from jasminebeam.configuration import relay
 from jasminebeam.configuration import routes as route_sets
 from jasminebeam import http_client
@@ -31,6 +33,7 @@
 from jasminebeam.peering import pool
 from jasminebeam.peering import server as peer_server
 from jasminebeam.peering import sockets
+from jasminebeam.routing import evacuation
 from jasminebeam.routing import policies
 from jasminebeam.routing import probing
 from jasminebeam.routing import scoring
@@ -111,6 +114,7 @@
         self._hello = messages.Hello(node_section.node_id, boot_id)
         self.services = directory.ServiceDirectory()
         self.route_sets = route_sets.RouteDirectory(self.generator)
+        self.evacuations = evacuations.EvacuationDirectory()
         self.upstream_lifecycle = lifecycle.UpstreamLifecycle()
         self._discovery = lifecycle.StartupDiscovery(clock.monotonic_ms())
         self.routes = table.RoutingTable(
@@ -160,6 +164,7 @@
             self._settings.peering.seeds.split(),
             self.generator,
             self._gossip_options,
+            self.evacuations,
         )
         return membership_task.MembershipTask(
             state,
@@ -171,6 +176,13 @@
             clock.monotonic_ms,
             self.log,
             self.metrics,
+            evacuation_enforcement.EvacuationEnforcer(
+                self._settings.node.failure_domain,
+                self.routes,
+                self.sidecar,
+                self.log,
+                self.metrics,
+            ).apply,
         )
 
     async def start(self) -> None:
@@ -515,7 +527,11 @@
             self.generator, self._settings.routing.choices, cost_parameters
         )
         self.dispatcher = dispatcher.Dispatcher(
-            selection.Selector(self.routes, policies_by_name),
+            selection.Selector(
+                self.routes,
+                policies_by_name,
+                evacuation.EvacuationFilter(self.evacuations),
+            ),
             self.pool,
             self.generator,
             dispatcher.Clocks(clock.monotonic_ms, clock.wall_ms),
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -39,6 +39,7 @@
         verdict.Reason.NOT_CONNECTED,
         verdict.Reason.NOT_READY,
         verdict.Reason.CONNECT_FAILED,
+        verdict.Reason.EVACUATED,
     }
 )
 
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -14,6 +14,7 @@
     from collections import abc
 
     from jasminebeam.model import services
+    from jasminebeam.routing import evacuation
     from jasminebeam.routing import table
 
 
@@ -34,13 +35,17 @@
         The known upstreams.
     policies_by_name : mapping of str to Policy
         Policies by their names; they choose among the eligible upstreams.
+    evacuated : EvacuationFilter or None
+        Leaves out upstreams of evacuated failure domains.
     """
 
     def __init__(
         self,
         routes: table.RoutingTable,
         policies_by_name: typing.Mapping[str, policies.Policy],
+        evacuated: evacuation.EvacuationFilter | None = None,
     ) -> None:
+        self._evacuated = evacuated
         self._routes = routes
         self._policies = policies_by_name
 
@@ -64,7 +69,7 @@
         """
         untried = self._candidates(service, tried, now_ms)
         if not untried:
-            return Choice(None, verdict.Reason.NO_UPSTREAM)
+            return Choice(None, self._reason_for_none(service))
         policy = self._policies[service.policy]
         with_room = [state for state in untried if state.has_room(now_ms)]
         return Choice(policy.choose(with_room or untried, now_ms, wall_ms))
@@ -128,12 +133,25 @@
     ) -> list[table.UpstreamState]:
         members = self._routes.subset_of(service.name, service.subset_size)
         ready = [state for state in members if _is_ready(state)]
+        if self._evacuated is not None:
+            ready = self._evacuated.admitted(ready, now_ms)
         candidates = eligible(ready, service.max_ejected_ratio, now_ms)
         untried = [
             state for state in candidates if state.member.node_id not in tried
         ]
         return self._outside_unreachable_domains(untried)
 
+    def _reason_for_none(self, service: services.Service) -> verdict.Reason:
+        members = self._routes.members_of(service.name).values()
+        if any(self._is_evacuated(member) for member in members):
+            return verdict.Reason.EVACUATED
+        return verdict.Reason.NO_UPSTREAM
+
+    def _is_evacuated(self, member: upstreams.Member) -> bool:
+        return self._evacuated is not None and self._evacuated.is_evacuated(
+            member.failure_domain
+        )
+
     def _outside_unreachable_domains(
         self, states: list[table.UpstreamState]
     ) -> list[table.UpstreamState]:
@@ -152,13 +170,16 @@
 
         All known members are considered, including those that are not
         ready. A retry with the same key therefore never moves to another
-        upstream while its owner is briefly unavailable.
+        upstream while its owner is briefly unavailable, or while its failure
+        domain is evacuated.
         """
         members = self._routes.members_of(service.name)
         node_id = subset.owner(key, members)
         if node_id is None:
             return Choice(None, verdict.Reason.NO_UPSTREAM)
         state = self._routes.get_or_create_state(node_id)
+        if self._is_evacuated(state.member):
+            return Choice(None, verdict.Reason.EVACUATED)
         if not _is_ready(state):
             return Choice(None, verdict.Reason.KEY_OWNER_UNAVAILABLE)
         return Choice(state)
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -36,6 +36,7 @@
         verdict.Reason.KEY_BUSY,
         verdict.Reason.KEY_CONFLICT,
         verdict.Reason.KEY_TABLE_FULL,
+        verdict.Reason.EVACUATED,
     }
 )
 
@@ -228,6 +229,7 @@
         self._states: dict[str, UpstreamState] = {}
         self._subsets: dict[str, tuple[UpstreamState, ...]] = {}
         self.unreachable_domains: frozenset[str] = frozenset()
+        self._evacuated_domains: frozenset[str] = frozenset()
         self.notices = notices.NoticeBook()
 
     def update(self, member: upstreams.Member) -> None:
@@ -296,7 +298,7 @@
 
     def _choose_subset(self, service: str, subset_size: int) -> list[str]:
         node_id = self._locality.node_id
-        members = self._members.get(service, {})
+        members = self._available_members(service)
         local = [
             member.node_id
             for member in members.values()
@@ -307,6 +309,24 @@
         remote = members.keys() - set(local)
         return subset.choose_by_region(node_id, local, remote, subset_size)
 
+    def _available_members(
+        self, service: str
+    ) -> typing.Mapping[str, upstreams.Member]:
+        """Return the members of a service outside evacuated domains."""
+        members = self._members.get(service, {})
+        if not self._evacuated_domains:
+            return members
+        return {
+            node_id: member
+            for node_id, member in members.items()
+            if member.failure_domain not in self._evacuated_domains
+        }
+
+    def set_evacuated_domains(self, domains: frozenset[str]) -> None:
+        """Leave the upstreams of these domains out of all subsets."""
+        self._evacuated_domains = domains
+        self._subsets.clear()
+
     def invalidate(self, service: str) -> None:
         """Drop the subset of a service whose definition has changed."""
         self._subsets.pop(service, None)
--- a/jasminebeam/sidecar/local_upstream.py
+++ b/jasminebeam/sidecar/local_upstream.py
@@ -42,6 +42,8 @@
         self.client: client.UpstreamClient | None = None
         # True once the node itself stops.
         self.stopping = False
+        # True while the failure domain of the node is evacuated.
+        self.evacuated = False
         self._options = options
         self._suspension = suspension.Suspension(options)
         self._log = log
@@ -105,6 +107,8 @@
             return verdict.not_run(verdict.Reason.STOPPING)
         if self.phase is upstreams.Phase.DRAINING:
             return verdict.not_run(verdict.Reason.DRAINING)
+        if self.evacuated:
+            return verdict.not_run(verdict.Reason.EVACUATED)
         if self.announcement is None or self.suspended:
             return verdict.not_run(verdict.Reason.NOT_READY)
         if self.announcement.service != service:
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -143,6 +143,12 @@
         self._upstream.detach()
         self._execution.refuse_waiting(verdict.Reason.NOT_READY)
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Refuse new and waiting requests during an evacuation."""
+        self._upstream.evacuated = evacuated
+        if evacuated:
+            self._execution.refuse_waiting(verdict.Reason.EVACUATED)
+
     def stop(self) -> None:
         """Refuse new requests because the node itself stops."""
         self._upstream.stopping = True
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -54,6 +54,7 @@
     WRONG_UPSTREAM = 'wrong_upstream'
     WRONG_ANSWER = 'wrong_answer'
     ANSWER_TRUNCATED = 'answer_truncated'
+    EVACUATED = 'evacuated'
 
 
 SERVER_ERROR_STATUS = 500
