--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -7,6 +7,7 @@
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 from jasminebeam.peering import base
+from jasminebeam.peering import evacuation_messages
 from jasminebeam.peering import token_messages
 
 PROTOCOL_VERSION = 1
@@ -478,6 +479,8 @@
     | token_messages.TokenCollection
     | token_messages.TokenSurplus
     | ColdNotice
+    | evacuation_messages.EvacuationsUpdate
+    | evacuation_messages.EvacuationsDigest
 )
 
 CONTROL_TYPES = (
@@ -495,4 +498,6 @@
     RoutesReply,
     WatchReport,
     WatchReportAck,
+    evacuation_messages.EvacuationsUpdate,
+    evacuation_messages.EvacuationsDigest,
 )
