--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -20,6 +20,7 @@
 from jasminebeam import http_client
 from jasminebeam.ingress import admission_client
 from jasminebeam.ingress import dispatcher
+from jasminebeam.ingress import load_probing
 from jasminebeam.membership import gossip
 from jasminebeam.membership import options as gossip_options
 from jasminebeam.membership import task as membership_task
@@ -48,8 +49,6 @@
     from jasminebeam.peering import security
     from jasminebeam import settings as settings_module
 
-PROBE_TICK_S = 0.1
-
 # Interval of the health checks until a restarted node has found an upstream
 # that is already running.
 FIND_INTERVAL_S = 0.1
@@ -191,7 +190,7 @@
             self._run_membership,
             self._tick_peers,
             self._tick_sidecar,
-            self._probe,
+            self._prober.run,
             self._read_load,
         ):
             self._supervise(start)
@@ -526,6 +525,14 @@
             ),
             self._configuration_state,
         )
+        self._prober = load_probing.LoadProber(
+            self.probes,
+            self.services,
+            self.routes,
+            self.pool,
+            clock.monotonic_ms,
+            self.metrics,
+        )
         self._callers = http.CallerServer(
             self._adapter.matcher(self),
             self.dispatcher,
@@ -629,30 +636,6 @@
             self.sidecar.expire(clock.monotonic_ms())
             await asyncio.sleep(EXPIRE_TICK_S)
 
-    async def _probe(self) -> None:
-        while True:
-            await self.probes.wait_for_request()
-            now_ms = clock.monotonic_ms()
-            for name in self.probes.services_in_use(now_ms):
-                service = self.services.service(name)
-                if service is not None:
-                    self._probe_service(service, now_ms)
-            await asyncio.sleep(PROBE_TICK_S)
-
-    def _probe_service(self, service: services.Service, now_ms: float) -> None:
-        states = self.routes.subset_of(service.name, service.subset_size)
-        for state in self.probes.plan(service, states, now_ms):
-            member = state.member
-            peer = self.pool.peer(member.node_id, member.address)
-            peer.connect()
-            sent = peer.probe()
-            result = 'sent' if sent else 'not_connected'
-            self.metrics.probes.labels(service.name, result).inc()
-            if sent:
-                self.metrics.probe_bytes.labels(service.name).inc(
-                    probing.PROBE_WIRE_BYTES
-                )
-
     async def _read_load(self) -> None:
         interval_s = self._settings.upstream.load_interval_ms / 1_000
         while True:
