--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -41,7 +41,7 @@
     ('membership._state', 'tick', 'Node._run_membership'),
     ('pool', 'tick', 'Node._tick_peers'),
     ('sidecar', 'expire', 'Node._tick_sidecar'),
-    ('probes', 'services_in_use', 'Node._probe'),
+    ('probes', 'services_in_use', 'LoadProber.run'),
     ('sidecar', 'check_health', 'Node._read_load'),
 )
 
