--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -7,6 +7,7 @@
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 from jasminebeam.peering import base
+from jasminebeam.peering import cold_messages
 from jasminebeam.peering import evacuation_messages
 from jasminebeam.peering import token_messages
 
@@ -375,25 +376,6 @@
     recent_starts: int = 0
 
 
-class ColdNotice(Message, tag=34):
-    """States that an upstream is cold, or may be, and what it takes.
-
-    A sidecar sends this message ahead of its load samples while this applies,
-    except ahead of that of ``Welcome``. Another sample without it shows that
-    it does not apply.
-
-    Parameters
-    ----------
-    per_s : float
-        Requests a second that the upstream takes from all nodes together.
-    wait_us : int
-        Time until the upstream takes a further request.
-    """
-
-    per_s: float
-    wait_us: int
-
-
 class WatchReport(Message, tag=28):
     """States that a node watches the configuration for its failure domain.
 
@@ -478,7 +460,7 @@
     | token_messages.TokenGrant
     | token_messages.TokenCollection
     | token_messages.TokenSurplus
-    | ColdNotice
+    | cold_messages.ColdNotice
     | evacuation_messages.EvacuationsUpdate
     | evacuation_messages.EvacuationsDigest
 )
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -8,6 +8,7 @@
 
 from jasminebeam.model import requests
 from jasminebeam.peering import calls
+from jasminebeam.peering import cold_messages
 from jasminebeam.peering import links
 from jasminebeam.peering import messages
 from jasminebeam.telemetry import events
@@ -84,7 +85,7 @@
     def on_no_notice(self, boot_id: int) -> None:
         """Record that a process of the sidecar has no notice."""
 
-    def on_cold(self, notice: messages.ColdNotice, now_ms: float) -> None:
+    def on_cold(self, notice: cold_messages.ColdNotice, now_ms: float) -> None:
         """Record that the upstream is cold, or may be."""
 
     def on_warm(self) -> None:
@@ -148,7 +149,7 @@
             messages.ProbeReply: self._on_probe_reply,
             messages.AdmissionReply: self._on_admission_reply,
             messages.UpstreamNotice: self._on_upstream_notice,
-            messages.ColdNotice: self._on_cold_notice,
+            cold_messages.ColdNotice: self._on_cold_notice,
         }
 
     @property
@@ -397,7 +398,7 @@
         self._has_new_notice = True
         self._observer.on_notice(message, self._boot_id, self._clock())
 
-    def _on_cold_notice(self, message: messages.ColdNotice) -> None:
+    def _on_cold_notice(self, message: cold_messages.ColdNotice) -> None:
         self._has_new_cold = True
         self._observer.on_cold(message, self._clock())
 
--- a/jasminebeam/peering/pool.py
+++ b/jasminebeam/peering/pool.py
@@ -6,6 +6,7 @@
 import contextlib
 import typing
 
+from jasminebeam.peering import cold_messages
 from jasminebeam.peering import links
 from jasminebeam.peering import messages
 from jasminebeam.peering import peers
@@ -189,7 +190,7 @@
         if state is not None:
             state.clear_notice()
 
-    def on_cold(self, notice: messages.ColdNotice, now_ms: float) -> None:
+    def on_cold(self, notice: cold_messages.ColdNotice, now_ms: float) -> None:
         """Record that the upstream is cold, or may be."""
         state = self._routes.state(self._node_id)
         if state is not None:
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -11,6 +11,7 @@
 from jasminebeam import verdict
 
 if typing.TYPE_CHECKING:
+    from jasminebeam.peering import cold_messages
     from jasminebeam.peering import messages
 
 ROUND_TRIP_EWMA_WEIGHT = 0.2
@@ -138,7 +139,7 @@
         self.limit_per_s = None
         self.limited_until_ms = 0.0
 
-    def on_cold(self, notice: messages.ColdNotice, now_ms: float) -> None:
+    def on_cold(self, notice: cold_messages.ColdNotice, now_ms: float) -> None:
         """Record that the upstream is cold, and when it has room again."""
         self.is_cold = True
         self.cold_until_ms = now_ms + notice.wait_us / 1_000
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -9,6 +9,7 @@
 from jasminebeam.admission import slots
 from jasminebeam.model import upstreams
 from jasminebeam.peering import calls
+from jasminebeam.peering import cold_messages
 from jasminebeam.peering import messages
 from jasminebeam.retries import registry
 from jasminebeam.sidecar import active_requests
@@ -420,7 +421,7 @@
         cold = self._slots.cold
         if cold.is_paced(now_ms):
             wait_us = int(cold.wait_ms(self.queued, now_ms) * 1_000)
-            notices.append(messages.ColdNotice(cold.per_s, wait_us))
+            notices.append(cold_messages.ColdNotice(cold.per_s, wait_us))
         return notices
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -1,4 +1,4 @@
-"""Tests of the imports of the package."""
+"""Tests of the size of the package's files and of their imports."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 PACKAGE = ROOT / 'jasminebeam'
+MAX_LINES = 500
 
 
 def _modules():
@@ -29,6 +30,16 @@
     return found & names
 
 
+def test_file_held_more_than_one_job():
+    """A file that has grown beyond the limit is split."""
+    too_long = {
+        name: lines
+        for name, path in _modules()
+        if (lines := len(path.read_text().splitlines())) > MAX_LINES
+    }
+    assert not too_long
+
+
 def test_modules_imported_each_other():
     """No module depends on itself by way of others."""
     modules = dict(_modules())
