--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -9,9 +9,9 @@
 import typing
 
 from jasminebeam.ingress import request_log
-from jasminebeam.retries import budget
 from jasminebeam.retries import policy
 from jasminebeam.retries import quantile
+from jasminebeam.retries import service_budgets
 from jasminebeam.routing import table
 from jasminebeam.telemetry import events
 from jasminebeam import verdict
@@ -41,21 +41,6 @@
 MAX_LATENCY_ESTIMATES = 4_096
 MIN_HEDGE_DELAY_MS = 2.0
 CANCEL_GRACE_S = 0.05
-# Each node may accumulate one retry and one hedge for each service. The sum
-# over a fleet of 14 nodes, counted twice because all nodes may restart, stays
-# below the 64 extra attempts that are allowed beyond the ratio.
-RETRY_BURST = 1.0
-HEDGE_BURST = 1.0
-REROUTE_RATIO = 1.0
-REROUTE_BURST = 40.0
-
-
-@dataclasses.dataclass(slots=True)
-class _ServiceBudgets:
-    retries: budget.RatioBudget
-    hedges: budget.RatioBudget
-    reroutes: budget.RatioBudget
-    options: tuple[float, float, float]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -72,7 +57,7 @@
 class _RequestProgress:
     call: requests.Call
     service: services.Service
-    budgets: _ServiceBudgets
+    budgets: service_budgets.ServiceBudgets
     latency: quantile.QuantileEstimate
     started_ms: float
     attempts: int = 0
@@ -136,7 +121,7 @@
         self._log = log
         self._counters = counters
         self._tokens = itertools.count(1)
-        self._budgets: dict[str, _ServiceBudgets] = {}
+        self._budgets = service_budgets.BudgetTable()
         self._latencies: dict[tuple[str, str], quantile.QuantileEstimate] = {}
         self._request_counters: dict[
             tuple[str, verdict.Outcome], prometheus_client.Counter
@@ -149,10 +134,8 @@
 
         Cancelling the task cancels the pending attempts.
         """
-        budgets = self._service_budgets(service)
-        budgets.retries.deposit()
-        budgets.hedges.deposit()
-        budgets.reroutes.deposit()
+        budgets = self._budgets.of(service)
+        budgets.deposit()
         started_ms = self._clocks.monotonic_ms()
         latency = self._latency_estimate(call, service, started_ms)
         progress = _RequestProgress(
@@ -499,25 +482,3 @@
                 self._latencies.clear()
             self._latencies[service_route] = estimate
         return estimate
-
-    def _service_budgets(self, service: services.Service) -> _ServiceBudgets:
-        options = (
-            service.retry_ratio,
-            service.hedge_ratio,
-            service.hedge_quantile,
-        )
-        budgets = self._budgets.get(service.name)
-        if budgets is None or budgets.options != options:
-            budgets = _ServiceBudgets(
-                _budget(service.retry_ratio, RETRY_BURST),
-                _budget(service.hedge_ratio, HEDGE_BURST),
-                budget.RatioBudget(REROUTE_RATIO, REROUTE_BURST),
-                options,
-            )
-            self._budgets[service.name] = budgets
-        return budgets
-
-
-def _budget(ratio: float, burst: float) -> budget.RatioBudget:
-    """Return a budget; a ratio of 0 allows no attempt and no burst."""
-    return budget.RatioBudget(ratio, burst if ratio else 0.0)
--- a/tests/test_ingress/test_dispatcher.py
+++ b/tests/test_ingress/test_dispatcher.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 
-from jasminebeam.ingress import dispatcher
+from jasminebeam.retries import service_budgets
 from jasminebeam import verdict
 
 
@@ -34,7 +34,7 @@
     attempts are allowed beyond the ratio.
     """
     nodes, restarts, allowed = 14, 2, 64
-    burst = dispatcher.RETRY_BURST + dispatcher.HEDGE_BURST
+    burst = service_budgets.RETRY_BURST + service_budgets.HEDGE_BURST
     assert nodes * restarts * burst <= allowed
 
 
