Reroute refusals of cold upstreams, and repeat lost health checks

- A request that a cold upstream has refused goes to an untried upstream with room, also once it accepts queueing, and uses no retry budget.
- Checks of a warm or cold upstream have a short timeout, which doubles.
- Under load for all upstreams cold at once, a test compares priorities.

--- a/jasminebeam/admission/cold_start.py
+++ b/jasminebeam/admission/cold_start.py
@@ -264,8 +264,9 @@
             if self.last_check_ms < self.claimed_ms:
                 # An announcement says so, which may have arrived late.
                 due_ms = min(due_ms, soonest_ms)
-        elif state is State.WARM and math.isinf(self.unanswered_ms):
-            due_ms = math.inf
+        elif state is State.WARM:
+            if math.isinf(self.unanswered_ms):
+                due_ms = math.inf
             if 2 * len(self._recent(now_ms)) >= self.unconfirmed_starts:
                 due_ms = self.last_check_ms + MIN_CHECK_INTERVAL_MS
         return max(0.0, due_ms - now_ms)
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -224,7 +224,9 @@
         duration_s = (now_ms - started_ms) / 1_000
         self._counters.latency.labels(match.service.name).observe(duration_s)
         retry_after_ms = backoff.retry_after_ms(
-            call.deadline_ms - now_ms, self._generator.random()
+            call.deadline_ms - now_ms,
+            self._generator.random(),
+            result.retry_ms,
         )
         return self._dialect.write_verdict(result, retry_after_ms)
 
--- a/jasminebeam/ingress/backoff.py
+++ b/jasminebeam/ingress/backoff.py
@@ -16,7 +16,9 @@
 NO_CONFIGURATION_RETRY_AFTER_MS = 300.0
 
 
-def retry_after_ms(left_ms: float, jitter: float) -> float:
+def retry_after_ms(
+    left_ms: float, jitter: float, earliest_ms: float = 0.0
+) -> float:
     """Return the delay before a retry, with jitter.
 
     The jitter keeps callers from retrying at the same moment.
@@ -30,11 +32,17 @@
         Time until the caller's deadline.
     jitter : float
         Random number in [0, 1).
+    earliest_ms : float
+        Time until an upstream has room again. A retry before that is refused
+        again; the delay nevertheless stays within what callers accept.
 
     Examples
     --------
     >>> retry_after_ms(1_000.0, 0.5)
     160.0
+    >>> retry_after_ms(1_000.0, 0.5, 200.0)
+    250.0
     """
     longest_ms = max(MIN_RETRY_AFTER_MS, MAX_TIME_LEFT_RATIO * left_ms)
-    return MIN_RETRY_AFTER_MS + jitter * (longest_ms - MIN_RETRY_AFTER_MS)
+    shortest_ms = min(max(MIN_RETRY_AFTER_MS, earliest_ms), longest_ms)
+    return shortest_ms + jitter * (longest_ms - shortest_ms)
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -145,6 +145,11 @@
             result = await self._run_attempts(progress)
         finally:
             self._cancel_pending(progress)
+        if result.reason is verdict.Reason.COLD:
+            now_ms = self._clocks.monotonic_ms()
+            result = dataclasses.replace(
+                result, retry_ms=self._selector.room_wait_ms(service, now_ms)
+            )
         self._count_outcome(service.name, result.outcome)
         self._request_log.request_ended(
             call,
@@ -216,8 +221,13 @@
             reason = verdict.Reason.SERVER_ERROR.value
         if progress.accepts_queueing and policy.is_paced(result):
             # The limit is no failure, so it does not use the retry budget.
-            return False
-        if progress.accepts_queueing or not policy.is_reroute(result):
+            now_ms = self._clocks.monotonic_ms()
+            allowed = result.reason is verdict.Reason.COLD
+            if not allowed or not self._selector.has_room(
+                progress.service, progress.tried_nodes, now_ms
+            ):
+                return False
+        elif progress.accepts_queueing or not policy.is_reroute(result):
             allowed = progress.budgets.retries.withdraw()
         else:
             # If the reroute budget is exhausted, the next attempt accepts
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -100,6 +100,32 @@
         policy = self._policies[service.policy]
         return Choice(policy.choose(unlimited, now_ms, wall_ms))
 
+    def has_room(
+        self,
+        service: services.Service,
+        tried: abc.Collection[str],
+        now_ms: float,
+    ) -> bool:
+        """Return True if no limit of an untried upstream is used up.
+
+        The parameters are those of `choose`.
+        """
+        untried = self._candidates(service, tried, now_ms)
+        return any(state.has_room(now_ms) for state in untried)
+
+    def room_wait_ms(self, service: services.Service, now_ms: float) -> float:
+        """Return the time until the limit of an upstream has room again.
+
+        It is 0 if an upstream has room, or if there is none.
+        """
+        return min(
+            (
+                state.room_wait_ms(now_ms)
+                for state in self._candidates(service, (), now_ms)
+            ),
+            default=0.0,
+        )
+
     def rank(
         self,
         service: services.Service,
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -155,7 +155,12 @@
 
     def has_room(self, now_ms: float) -> bool:
         """Return False while a limit is known to be used up."""
-        return now_ms >= max(self.limited_until_ms, self.cold_until_ms)
+        return not self.room_wait_ms(now_ms)
+
+    def room_wait_ms(self, now_ms: float) -> float:
+        """Return the time until a limit that is used up has room again."""
+        until_ms = max(self.limited_until_ms, self.cold_until_ms)
+        return max(0.0, until_ms - now_ms)
 
     def on_round_trip(self, round_trip_ms: float) -> None:
         """Record the round trip time that a ping has measured."""
--- a/jasminebeam/sidecar/cold_checks.py
+++ b/jasminebeam/sidecar/cold_checks.py
@@ -19,6 +19,13 @@
 
 RESTART_DELAY_S = 0.1
 
+# Timeout of a check, as a multiple of the usual time until a response: a lost
+# response must not hold back the requests of a warm upstream for long. The
+# timeout doubles with each check without a response.
+TIMEOUT_RATIO = 4.0
+MIN_TIMEOUT_MS = 100.0
+MAX_TIMEOUT_MS = 1_000.0
+
 _EVENTS = {
     cold_start.State.COLD: events.Event.UPSTREAM_COLD,
     cold_start.State.SILENT: events.Event.UPSTREAM_SILENT,
@@ -168,6 +175,7 @@
 
     async def _run(self) -> None:
         """Check until the limit needs no further check."""
+        timeout_ms = 0.0
         while True:
             self._wanted.clear()
             delay_ms = self._slots.cold.check_delay_ms(self._clock())
@@ -179,11 +187,30 @@
                         await self._wanted.wait()
                 continue
             sent_ms = self._slots.cold.last_check_ms
-            await self._check_health()
+            health = None
+            timeout_ms = self._timeout_ms(timeout_ms)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_ms / 1_000):
+                    health = await self._check_health()
+            if health is not None:
+                timeout_ms = 0.0
             if self._slots.cold.last_check_ms == sent_ms:
                 # A suspended upstream gets no health checks.
                 await asyncio.sleep(cold_start.CHECK_INTERVAL_MS / 1_000)
 
+    def _timeout_ms(self, previous_ms: float) -> float:
+        """Return the timeout of a check; the previous is 0 if answered.
+
+        An upstream that has just started may take long to respond.
+        """
+        state = self._slots.cold.state(self._clock())
+        if state not in (cold_start.State.WARM, cold_start.State.COLD):
+            return MAX_TIMEOUT_MS
+        usual_ms = TIMEOUT_RATIO * self._slots.cold.check_ms
+        return min(
+            max(MIN_TIMEOUT_MS, usual_ms, 2 * previous_ms), MAX_TIMEOUT_MS
+        )
+
     def _rate(self, announcement: upstreams.Announcement) -> float:
         entry = self._cold_starts.get(announcement.service)
         return math.inf if entry is None else entry.per_s
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -73,11 +73,14 @@
         Reason why there is no answer; ``NONE`` for an answer.
     answer : Answer or None
         Answer of the upstream; None unless the outcome is ``ANSWERED``.
+    retry_ms : float
+        Time until a further attempt may succeed, as far as it is known.
     """
 
     outcome: Outcome
     reason: Reason = Reason.NONE
     answer: requests.Answer | None = None
+    retry_ms: float = 0.0
 
 
 def answered(answer: requests.Answer) -> Verdict:
--- a/tests/test_platform/test_cold_starts.py
+++ b/tests/test_platform/test_cold_starts.py
@@ -55,7 +55,10 @@
     stand_in.cold_until_s = asyncio.get_running_loop().time() + 60.0
     await node.sidecar.check_health()
     await _wait_for(cluster, node, cold_start.State.COLD)
-    assert len(await _send_all(cluster)) == REQUESTS
+    answers = await _send_all(cluster)
+    refused = [headers for status, headers, _ in answers if status == 503]
+    assert refused
+    assert all(0 < float(found['Retry-After']) < 0.3 for found in refused)
     assert 0 < stand_in.most_cold_arrivals() <= 1.5 * PER_S + 8
 
 
--- a/tests/test_sidecar/test_cold_starts.py
+++ b/tests/test_sidecar/test_cold_starts.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import dataclasses
+
 import pytest
 
 from bench.soak import checks
+from jasminebeam import http_client
 from jasminebeam.model import routes
 from jasminebeam.model import upstreams
 from jasminebeam.telemetry import events
+from jasminebeam.upstreams import client
 from jasminebeam import verdict
 
 PER_S = 4.9
@@ -73,6 +78,28 @@
     assert sum(answered) >= 0.98 * len(answered)
 
 
+def test_urgent_requests_lost_to_others_at_cold_upstreams(cluster):
+    """The priority decides who gets what all upstreams together take."""
+    servers = _add(cluster, 3)
+    _send_for(cluster, 0.5)
+    for server in servers:
+        _make_cold(cluster, server, 4.0)
+    answered = {0: 0, 5: 0}
+    tasks = []
+    for priority in 200 * [0, 5]:
+        call = dataclasses.replace(
+            cluster.call('POST', 500.0), priority=priority
+        )
+        tasks.append((priority, cluster.send(call)))
+        cluster.run(INTERVAL_S)
+    cluster.run(0.5)
+    for priority, task in tasks:
+        result = task.result()
+        answered[priority] += result.outcome is verdict.Outcome.ANSWERED
+    assert answered[0] > 2 * answered[5]
+    assert sum(answered.values()) >= 0.9 * 3 * PER_S * 4.0
+
+
 @pytest.mark.parametrize('after_s', [0.0, 0.05, 0.4])
 def test_restarted_sidecar_overran_a_cold_upstream(cluster, after_s):
     """Both processes together keep to the bound."""
@@ -112,6 +139,39 @@
         assert len(server.upstream.checks_ms) <= 50 * 5.5
 
 
+def test_lost_health_response_held_requests_back(cluster):
+    """Another check replaces one whose response does not come."""
+    (server,) = _add(cluster, 1)
+    _send_for(cluster, 0.5)
+    original = server.upstream.check_health
+    lost = []
+
+    async def lose_one_response():
+        if not lost:
+            lost.append(True)
+            await asyncio.Event().wait()
+        return await original()
+
+    server.upstream.check_health = lose_one_response
+    results = _send_for(cluster, 2.0)
+    assert lost
+    assert all(r.outcome is verdict.Outcome.ANSWERED for r in results)
+
+
+def test_suspended_upstream_is_not_checked_in_a_loop(cluster):
+    """While no check is allowed, the checks must not keep the node busy."""
+    (server,) = _add(cluster, 1)
+    response = client.UnusableResponse(http_client.EndReason.HEAD, 9)
+    _send_for(cluster, 0.2)
+    sidecar = server.sidecar
+    sidecar.on_unusable(sidecar.announcement, response)
+    _make_cold(cluster, server, 3.0)
+    cluster.loop.call_soon(sidecar.on_announced_cold, 3_000.0)
+    server.upstream.checks_ms.clear()
+    cluster.run(0.9)
+    assert not server.upstream.checks_ms
+
+
 def test_first_request_came_before_a_check(cluster):
     """A sidecar that has just started knows nothing of its upstream."""
     server = cluster.add('u', slots=5, cold_per_s=PER_S)
@@ -149,6 +209,7 @@
     assert {r.outcome for r in refused} == {verdict.Outcome.NOT_RUN}
     assert verdict.Reason.COLD in {r.reason for r in refused}
     assert len(refused) <= 1.05 * expected
+    assert max(result.retry_ms for result in refused) > 0
     assert cluster.count('retries_denied', service='fees', reason='cold') == 0
     assert cluster.count('ejections', service='fees') == 0
 
