Bound the stated wait of cold upstreams, and test a restart of the upstream

A rate close to 0 in a configuration gave a wait that no message can carry; the encoding failed when the notice was sent. The wait is at most an hour now.

A further test replaces the start of an upstream under the same id while a health check of the previous start is under way.

--- a/jasminebeam/admission/cold_start.py
+++ b/jasminebeam/admission/cold_start.py
@@ -36,6 +36,10 @@
 INITIAL_CHECK_MS = 5.0
 SMOOTHING_FACTOR = 0.2
 
+# Longest wait that is stated, for rates close to 0. Messages between nodes
+# carry the wait as a 64-bit integer of microseconds.
+MAX_WAIT_MS = 3_600_000.0
+
 _ROUNDING = 1e-6
 
 
@@ -247,7 +251,7 @@
         if state is State.WARM:
             return self._confirmation_wait_ms(ahead, now_ms)
         missing = ahead + 1 - self._tokens(now_ms) - _ROUNDING
-        return max(0.0, missing * 1_000 / self.per_s)
+        return min(max(0.0, missing * 1_000 / self.per_s), MAX_WAIT_MS)
 
     def check_delay_ms(self, now_ms: float) -> float:
         """Return the time until a health check is due.
--- a/tests/test_admission/test_cold_start.py
+++ b/tests/test_admission/test_cold_start.py
@@ -12,6 +12,8 @@
 from bench.soak import checks
 from jasminebeam.admission import cold_start
 from jasminebeam.admission import slots
+from jasminebeam.peering import codec
+from jasminebeam.peering import messages
 from jasminebeam import verdict
 
 SECOND_MS = 1_000.0
@@ -240,6 +242,16 @@
     )
 
 
+@pytest.mark.parametrize('per_s', [1e-300, 1e9])
+def test_odd_rate_of_a_configuration_failed_in_a_message(per_s):
+    """Rates close to 0 give no wait that a message cannot carry."""
+    limit = _warm(per_s).on_cold(9_000.0, 0.0)
+    limit, _ = _start_all(limit, 0.0)
+    wait_us = int(limit.wait_ms(100, 0.0) * 1_000)
+    notice = messages.ColdNotice(per_s, wait_us)
+    assert codec.decode(codec.encode(notice)).unwrap() == notice
+
+
 def test_cold_upstream_refuses_with_its_reason():
     """Ingress nodes reroute such a refusal without the retry budget."""
     queue = slots.SlotQueue(5, 4.0)
--- a/tests/test_sidecar/test_cold_starts.py
+++ b/tests/test_sidecar/test_cold_starts.py
@@ -181,6 +181,33 @@
     assert 0 < _most(server) <= allowed()
 
 
+def test_restarted_upstream_counted_as_warm(cluster):
+    """Nothing that a previous start has stated applies to the next one."""
+    (server,) = _add(cluster, 1)
+    cluster.run(0.1)
+    tested = server.sidecar
+    first = dataclasses.replace(
+        tested.announcement, upstream_id='u', started_ms=1
+    )
+    cluster.loop.call_soon(tested.attach, first, server.upstream)
+    cluster.run(0.1)
+    server.upstream.check_s = 0.05
+    check = cluster.loop.create_task(tested.check_health())
+    cluster.run(0.01)
+    second = type(server.upstream)()
+    second.on_notice = server.upstream.on_notice
+    second.check_s = 0.5
+    restarted = dataclasses.replace(first, started_ms=2)
+    cluster.loop.call_soon(tested.attach, restarted, second)
+    cluster.run(0.06)
+    assert check.done()
+    _send_for(cluster, 0.2, timeout_ms=100.0)
+    assert not second.arrivals_ms
+    cluster.run(0.3)
+    _send_for(cluster, 0.1)
+    assert second.arrivals_ms
+
+
 def test_announced_cold_start_is_paced(cluster):
     """A heartbeat tells of a cold start, and a check ends it."""
     server = cluster.add('u', slots=5, cold_per_s=PER_S)
