Let the controlled stand-in become cold and count what it gets

Other processes set the time for which the upstream is cold and read the largest number of requests in a second, as trials of cold fleets need it. The stand-in keeps a bounded number of arrivals.

--- a/bench/standins/controlled.py
+++ b/bench/standins/controlled.py
@@ -50,7 +50,8 @@
 
     ``POST /-/faults`` replaces the faults, ``/-/drain`` announces a drain
     and answers once it is acknowledged, and ``/-/restart`` makes it a new
-    incarnation.
+    incarnation. ``GET /-/arrivals`` returns the largest number of requests in
+    a second while it was cold.
     """
 
     def __init__(self, options: UpstreamOptions) -> None:
@@ -107,6 +108,8 @@
                 await request.read(), type=upstream.Faults
             )
             self._apply(faults)
+        elif request.path == '/-/arrivals':
+            return web.json_response({'cold': self.most_cold_arrivals()})
         elif request.path == '/-/drain':
             self._state = 'draining'
             self.healthy = False
@@ -136,6 +139,8 @@
         self.limit = '' if limit is None else str(limit)
         self.leaving = faults.leaving
         self.endless = faults.endless
+        now_s = asyncio.get_running_loop().time()
+        self.cold_until_s = now_s + faults.cold_s
 
 
 class ControlledStore(platform_store.PlatformStoreStandIn):
--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -14,6 +14,7 @@
 from bench.standins import endless
 
 SERVICE_TIME_S = 0.005
+MAX_ARRIVALS = 65_536
 
 
 class PlatformUpstreamStandIn:
@@ -49,11 +50,13 @@
         self.limit = ''
         self.leaving = False
         # Monotonic time in s until which the upstream is cold, whether its
-        # health responses say so, and all arrivals of requests (not of health
-        # checks), with whether it was cold.
+        # health responses say so, and the latest arrivals of requests (not of
+        # health checks) while it was cold.
         self.cold_until_s = 0.0
         self.states_cold = True
-        self.arrivals_s: list[tuple[float, bool]] = []
+        self.cold_arrivals_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_ARRIVALS
+        )
         # Whether answers report the load.
         self.tells_load = True
         # Whether answers to health checks state the limit and the mark.
@@ -135,8 +138,7 @@
 
     def most_cold_arrivals(self) -> int:
         """Return the largest number of arrivals in a second while cold."""
-        cold_ms = [at_s * 1_000 for at_s, cold in self.arrivals_s if cold]
-        return checks.most_in_window(cold_ms, 1_000.0) if cold_ms else 0
+        return checks.most_in_window(list(self.cold_arrivals_s), 1.0)
 
     async def send_leave_notice(self, address: str) -> int:
         """Deregister the upstream and return the status of the response."""
@@ -170,8 +172,7 @@
                 headers['Cold-Ms'] = str(self.cold_ms)
             status = 200 if self.healthy else 503
             return web.Response(status=status, headers=headers)
-        now_s = asyncio.get_running_loop().time()
-        self.arrivals_s.append((now_s, now_s < self.cold_until_s))
+        self._record_arrival()
         request_id = request.headers.get('Request-Id', '')
         headers['Request-Id'] = request_id
         expected = request.headers.get('Expect-Instance')
@@ -182,6 +183,11 @@
             return web.Response(status=503, headers=headers)
         return await self._run_request(request, request_id, headers)
 
+    def _record_arrival(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self.cold_until_s:
+            self.cold_arrivals_s.append(now_s)
+
     async def control(self, request: web.BaseRequest) -> web.Response:
         """Carry out a control request; there is none here."""
         return web.Response(status=404)
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -78,6 +78,9 @@
     endless : bool
         Answer requests and load reports with interim responses without end;
         a request counts as a run.
+    cold_s : float
+        Time for which the upstream is cold from now on. Only the stand-in of
+        the platform's protocol states it.
     """
 
     slow_factor: float = 1.0
@@ -87,6 +90,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     endless: bool = False
+    cold_s: float = 0.0
 
     def headers(self) -> dict[str, str]:
         """Return what the answers state about the upstream."""
