--- a/jasminebeam/ingress/service_budgets.py
+++ b/jasminebeam/retries/service_budgets.py
@@ -1,4 +1,4 @@
-"""Budgets of a service for retries, hedges and reroutes."""
+"""Budgets for the additional attempts of each service at one node."""
 
 from __future__ import annotations
 
@@ -21,7 +21,16 @@
 
 @dataclasses.dataclass(slots=True)
 class ServiceBudgets:
-    """Budgets of one service, and the options that they were created with."""
+    """Budgets of one service.
+
+    Parameters
+    ----------
+    retries, hedges, reroutes : RatioBudget
+        Attempts after a failure, beside an attempt in progress, and after a
+        refusal.
+    options : tuple of float
+        Values of the service from which the budgets were created.
+    """
 
     retries: budget.RatioBudget
     hedges: budget.RatioBudget
@@ -29,14 +38,14 @@
     options: tuple[float, float, float]
 
     def deposit(self) -> None:
-        """Record one request of the service."""
+        """Add what one request allows."""
         self.retries.deposit()
         self.hedges.deposit()
         self.reroutes.deposit()
 
 
 class BudgetTable:
-    """Keeps the budgets of all services that this node calls."""
+    """Budgets of all services that this node calls."""
 
     def __init__(self) -> None:
         self._budgets: dict[str, ServiceBudgets] = {}
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -74,15 +74,14 @@
         Reason why there is no answer; ``NONE`` for an answer.
     answer : Answer or None
         Answer of the upstream; None unless the outcome is ``ANSWERED``.
-    wait_ms : float
-        Time after which a request that did not run may be sent again; 0 if
-        unknown.
+    retry_ms : float
+        Time until a further attempt may succeed, as far as it is known.
     """
 
     outcome: Outcome
     reason: Reason = Reason.NONE
     answer: requests.Answer | None = None
-    wait_ms: float = 0.0
+    retry_ms: float = 0.0
 
 
 def answered(answer: requests.Answer) -> Verdict:
@@ -90,9 +89,9 @@
     return Verdict(Outcome.ANSWERED, Reason.NONE, answer)
 
 
-def not_run(reason: Reason, wait_ms: float = 0.0) -> Verdict:
+def not_run(reason: Reason, retry_ms: float = 0.0) -> Verdict:
     """Return the verdict on a request that provably did not run."""
-    return Verdict(Outcome.NOT_RUN, reason, wait_ms=wait_ms)
+    return Verdict(Outcome.NOT_RUN, reason, retry_ms=retry_ms)
 
 
 def may_have_run(reason: Reason) -> Verdict:
--- a/tests/test_ingress/test_dispatcher.py
+++ b/tests/test_ingress/test_dispatcher.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 
-from jasminebeam.ingress import service_budgets
+from jasminebeam.retries import service_budgets
 from jasminebeam import verdict
 
 
