--- a/tests/test_admission/test_fair_shares.py
+++ b/tests/test_admission/test_fair_shares.py
@@ -6,6 +6,8 @@
 import heapq
 import random
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from jasminebeam.admission import fair_shares
@@ -69,6 +71,64 @@
     assert collections.Counter(first) == {'red': 2, 'blue': 4}
 
 
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['', 'red', 'blue', 'green']),
+            strategies.integers(0, 2),
+            strategies.floats(150.0, 900.0),
+            strategies.sampled_from(['add', 'add', 'pop', 'drop', 'remove']),
+        ),
+        max_size=80,
+    )
+)
+def test_request_was_lost_or_started_twice(steps):
+    """Each request leaves the queue once, by whatever order of steps.
+
+    An empty queue keeps no charges.
+    """
+    waiting = queue.WaitingQueue()
+    left = []
+    for number, (team, priority, objective_ms, action) in enumerate(steps):
+        now_ms = 10.0 * number
+        if action == 'add':
+            waiting.add(_waiting(number, team, objective_ms, priority))
+        elif action == 'pop' and len(waiting):
+            left.append(waiting.pop(now_ms).ticket)
+        elif action == 'drop':
+            dropped = waiting.drop(now_ms)
+            left += (*dropped.too_late, *dropped.wait_expired)
+        elif action == 'remove' and waiting.remove(number - 1):
+            left.append(number - 1)
+        assert len(waiting) or not waiting._shares._classes
+    left += waiting.clear()
+    added = [number for number, step in enumerate(steps) if step[3] == 'add']
+    assert sorted(left) == added
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['red', 'blue']),
+            strategies.floats(10.0, 200.0),
+        ),
+        max_size=60,
+    )
+)
+def test_waiting_team_fell_behind(requests):
+    """While two teams wait, their work differs by two requests at most."""
+    waiting = queue.WaitingQueue()
+    for number, (team, typical_ms) in enumerate(requests):
+        waiting.add(_waiting((team, number), team, typical_ms=typical_ms))
+    work_ms = collections.Counter()
+    left = collections.Counter(team for team, _ in requests)
+    while left['red'] and left['blue']:
+        started = waiting.pop(0.0)
+        left[started.team] -= 1
+        work_ms[started.team] += started.typical_ms
+        assert abs(work_ms['red'] - work_ms['blue']) <= 2 * 200.0
+
+
 def test_idle_team_saved_up_a_share():
     """A team that returns starts next, and then takes turns again."""
     waiting = queue.WaitingQueue()
