--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,8 +9,10 @@
 import typing
 
 from bench import virtual_time
+from jasminebeam.configuration import evacuations
 from jasminebeam.ingress import admission_client
 from jasminebeam.ingress import dispatcher
+from jasminebeam.model import evacuations as evacuations_model
 from jasminebeam.model import requests
 from jasminebeam.model import routes as routes_model
 from jasminebeam.model import services
@@ -18,6 +20,7 @@
 from jasminebeam.peering import codec
 from jasminebeam.peering import messages
 from jasminebeam.peering import pool
+from jasminebeam.routing import evacuation
 from jasminebeam.routing import policies
 from jasminebeam.routing import selection
 from jasminebeam.routing import table
@@ -274,6 +277,7 @@
         self.metrics = metrics.Metrics()
         self.log = events.EventLog('test', self.metrics)
         self.routes = table.RoutingTable(table.Locality('ingress', 'a', 'r'))
+        self.evacuations = evacuations.EvacuationDirectory()
         self.servers: dict[str, Server] = {}
         generator = random.Random(seed)
         self._factory = pool.LinkFactory(self, messages.Hello('ingress', 9))
@@ -290,7 +294,11 @@
             self.metrics,
         )
         self.dispatcher = dispatcher.Dispatcher(
-            selection.Selector(self.routes, policies.create_all(generator, 4)),
+            selection.Selector(
+                self.routes,
+                policies.create_all(generator, 4),
+                evacuation.EvacuationFilter(self.evacuations),
+            ),
             self.pool,
             generator,
             dispatcher.Clocks(self.loop.now_ms, self.loop.now_ms),
@@ -345,6 +353,18 @@
         self.routes.update(member)
         return server
 
+    def evacuate(self, *domains: str) -> None:
+        """Evacuate these failure domains, and no other ones."""
+        revision = self.evacuations.revision + 1
+        self.evacuations.apply(
+            evacuations_model.Evacuations(revision, domains),
+            self.loop.now_ms(),
+        )
+        self.routes.set_evacuated_domains(frozenset(domains))
+        for server in self.servers.values():
+            domain = server.member.failure_domain
+            server.sidecar.set_evacuated(domain in domains)
+
     def open(
         self,
         address: str,
