--- a/tests/test_configuration/test_route_watcher.py
+++ b/tests/test_configuration/test_route_watcher.py
@@ -13,6 +13,8 @@
 
 from bench import virtual_time
 from jasminebeam.configuration import delegates
+from jasminebeam.configuration import evacuation_reader
+from jasminebeam.configuration import route_watch
 from jasminebeam.configuration import route_watcher
 from jasminebeam.configuration import seeds
 from jasminebeam.configuration import watch_timing
@@ -39,7 +41,8 @@
 DETECTION_S = 5.0
 # Cost of a stale read and of a renewal, relative to other calls.
 CHEAP_RATIO = 0.1
-ROUTES_KEY = 'op/config'
+OPERATORS_PREFIX = 'op/'
+ROUTES_KEY = OPERATORS_PREFIX + 'config'
 DELEGATES_PER_DOMAIN = 2
 
 UNAVAILABLE = result.Failure(store.StoreError.UNAVAILABLE)
@@ -446,7 +449,10 @@
 class Fleet:
     """Nodes that start at once, on one store in virtual time."""
 
-    def __init__(self, size, seed=1, stale_s=0.0):
+    def __init__(self, size, seed=1, stale_s=0.0, reads_evacuations=False):
+        # Sets that nodes have read from the store.
+        self.evacuations = []
+        self.reads_evacuations = reads_evacuations
         self.loop = virtual_time.VirtualTimeLoop()
         asyncio.set_event_loop(self.loop)
         self.store = CountingStore(self.loop)
@@ -486,9 +492,20 @@
             self.loop.now_ms,
             random.Random(self.generator.random()),
             self.log,
+            self._evacuations_watch(),
         )
         node.task = self.loop.create_task(self._run(watcher))
 
+    def _evacuations_watch(self):
+        if not self.reads_evacuations:
+            return None
+        reader = evacuation_reader.EvacuationReader(
+            OPERATORS_PREFIX + 'evacuate/',
+            lambda found, listed: self.evacuations.append((found, listed)),
+            self.log,
+        )
+        return route_watch.Evacuations(OPERATORS_PREFIX, reader)
+
     async def _run(self, watcher):
         # All hosts start within 0.3 s.
         await asyncio.sleep(0.3 * self.generator.random())
@@ -584,6 +601,41 @@
         fleet.close()
 
 
+def test_evacuations_cost_calls_while_there_are_none(create_fleet):
+    """The same calls at the same times read both kinds of keys."""
+    calls = []
+    for reads_evacuations in (False, True):
+        fleet = create_fleet(28, reads_evacuations=reads_evacuations)
+        fleet.advance(4.0)
+        for revision in (1, 2, 3):
+            fleet.write_routes(revision)
+            fleet.advance(10.0)
+        fleet.lose_answers()
+        fleet.advance(10.0)
+        calls.append((fleet.store.calls, fleet.store.calls_by_second))
+    assert calls[0] == calls[1]
+    assert all(
+        listed and not read.domains for read, listed in fleet.evacuations
+    )
+
+
+def test_evacuation_was_read_late_or_cost_many_calls(create_fleet):
+    """Each domain's watcher reads a change with one further poll."""
+    fleet = create_fleet(28, reads_evacuations=True)
+    fleet.write_routes(1)
+    fleet.advance(20.0)
+    fleet.evacuations.clear()
+    polls = fleet.store.calls['watch']
+    fleet.run(fleet.store.write('op/evacuate/d1', b'{}'))
+    fleet.advance(APPLY_S)
+    assert len(fleet.evacuations) == len(fleet.watchers()) == DOMAINS
+    for read, _ in fleet.evacuations:
+        assert read.domains == ('d1',)
+    fleet.advance(1.0)
+    # Polls of the regular replacement come on top.
+    assert fleet.store.calls['watch'] - polls <= 2 * DOMAINS
+
+
 def _delegates_expected():
     return DOMAINS * DELEGATES_PER_DOMAIN
 
