--- a/jasminebeam/quotas/amounts.py
+++ b/jasminebeam/quotas/amounts.py
@@ -3,12 +3,6 @@
 from __future__ import annotations
 
 import math
-import typing
-
-from jasminebeam.peering import token_messages
-
-if typing.TYPE_CHECKING:
-    from jasminebeam.quotas import pool
 
 # Messages carry whole thousandths of a token.
 UNIT = 1_000
@@ -37,21 +31,9 @@
     >>> round_down(0.3), round_down(1 / 3)
     (0.3, 0.333)
     """
-    return math.floor(tokens * UNIT + _ROUNDING) / UNIT
-
-
-def grant_parts(
-    team: str, grant: pool.Grant, now_ms: float
-) -> list[token_messages.TokenGrantPart]:
-    """Return the parts of a grant; one without tokens if there are none."""
-    wait_ms = math.ceil(grant.wait_ms)
-    parts = [
-        token_messages.TokenGrantPart(
-            team,
-            math.floor(lot.amount * UNIT + _ROUNDING),
-            math.floor(lot.expires_ms - now_ms),
-            wait_ms,
-        )
-        for lot in grant.lots
-    ]
-    return parts or [token_messages.TokenGrantPart(team, 0, 0, wait_ms)]
+    return whole(tokens) / UNIT
+
+
+def whole(tokens: float) -> int:
+    """Return the amount for a number of tokens, rounded down."""
+    return math.floor(tokens * UNIT + _ROUNDING)
--- a/jasminebeam/quotas/limiter.py
+++ b/jasminebeam/quotas/limiter.py
@@ -439,7 +439,7 @@
             for grant in self._teams[team].pool.grants(now_ms):
                 key = (grant.ask.node_id, grant.ask.number)
                 parts.setdefault(key, []).extend(
-                    amounts.grant_parts(team, grant, now_ms)
+                    pool.grant_parts(team, grant, now_ms)
                 )
         for (node_id, number), granted in parts.items():
             self._send_grant(node_id, number, granted)
--- a/jasminebeam/quotas/pool.py
+++ b/jasminebeam/quotas/pool.py
@@ -7,6 +7,7 @@
 import math
 import typing
 
+from jasminebeam.peering import token_messages
 from jasminebeam.quotas import amounts
 from jasminebeam.quotas import limit as limit_module
 from jasminebeam.quotas import share
@@ -416,3 +417,20 @@
     return tuple(
         share.Lot(amount, expires_ms) for expires_ms, amount in merged.items()
     )
+
+
+def grant_parts(
+    team: str, grant: Grant, now_ms: float
+) -> list[token_messages.TokenGrantPart]:
+    """Return the parts of a grant; one without tokens if there are none."""
+    wait_ms = math.ceil(grant.wait_ms)
+    parts = [
+        token_messages.TokenGrantPart(
+            team,
+            amounts.whole(lot.amount),
+            math.floor(lot.expires_ms - now_ms),
+            wait_ms,
+        )
+        for lot in grant.lots
+    ]
+    return parts or [token_messages.TokenGrantPart(team, 0, 0, wait_ms)]
