--- a/tests/test_admission/test_cold_start.py
+++ b/tests/test_admission/test_cold_start.py
@@ -13,7 +13,7 @@
 from jasminebeam.admission import cold_start
 from jasminebeam.admission import slots
 from jasminebeam.peering import codec
-from jasminebeam.peering import messages
+from jasminebeam.peering import cold_messages
 from jasminebeam import verdict
 
 SECOND_MS = 1_000.0
@@ -248,7 +248,7 @@
     limit = _warm(per_s).on_cold(9_000.0, 0.0)
     limit, _ = _start_all(limit, 0.0)
     wait_us = int(limit.wait_ms(100, 0.0) * 1_000)
-    notice = messages.ColdNotice(per_s, wait_us)
+    notice = cold_messages.ColdNotice(per_s, wait_us)
     assert codec.decode(codec.encode(notice)).unwrap() == notice
 
 
