Let operators evacuate failure domains by gRPC and the command line

Evacuate and Restore change the key of the own store by a conditional write and may be repeated; a lost answer is resolved by the next read. The answer, and ListEvacuations, ask the sidecars of the domains for their running requests, so operators see when a domain is idle. A sidecar that does not answer within a second is named instead of counted as idle.

--- a/jasminebeam/adapters.py
+++ b/jasminebeam/adapters.py
@@ -9,10 +9,12 @@
 
     from jasminebeam.callers import dialect as callers
     from jasminebeam.configuration import directory
+    from jasminebeam.configuration import evacuations as evacuations_in_force
     from jasminebeam.configuration import routes as routes_in_force
     from jasminebeam.membership import task as membership_task
     from jasminebeam.model import routes
     from jasminebeam.model import upstreams
+    from jasminebeam.peering import pool as peer_pool
     from jasminebeam.routing import table
     from jasminebeam.store import store
     from jasminebeam import supervision
@@ -37,6 +39,10 @@
         Source of jitter.
     metrics, log
         Counters and event log of the node.
+    evacuations : EvacuationDirectory
+        Evacuated failure domains.
+    pool : PeerPool
+        Connections to the sidecars; set once the node starts.
     """
 
     services: directory.ServiceDirectory
@@ -46,6 +52,8 @@
     generator: random.Random
     metrics: metrics.Metrics
     log: events.EventLog
+    evacuations: evacuations_in_force.EvacuationDirectory
+    pool: peer_pool.PeerPool
 
     @property
     def ready(self) -> bool:
--- a/jasminebeam/cmd/ctl.py
+++ b/jasminebeam/cmd/ctl.py
@@ -163,6 +163,28 @@
     _print_rows([answer], ('in_flight',))
 
 
+async def _evacuate(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.EvacuateRequest(domain=arguments[0])
+    _print_evacuations(await stub.Evacuate(request))
+
+
+async def _restore(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.RestoreRequest(domain=arguments[0])
+    _print_evacuations(await stub.Restore(request))
+
+
+async def _evacuations(stub: Stub, arguments: list[str]) -> None:
+    request = operators_pb2.ListEvacuationsRequest()
+    _print_evacuations(await stub.ListEvacuations(request))
+
+
+def _print_evacuations(
+    answer: operators_pb2.ListEvacuationsResponse,
+) -> None:
+    fields = ('domain', 'upstreams', 'running', 'working', 'silent')
+    _print_rows(answer.evacuations, fields)
+
+
 async def _events(stub: Stub, arguments: list[str]) -> None:
     async with stub.WatchEvents.open() as stream:
         request = operators_pb2.WatchEventsRequest()
@@ -213,6 +235,21 @@
         _hosts,
     ),
     'drain': Command('drain NODE', 'Drain the upstream of a node.', 1, _drain),
+    'evacuate': Command(
+        'evacuate DOMAIN',
+        'Send no more requests to a failure domain.',
+        1,
+        _evacuate,
+    ),
+    'restore': Command(
+        'restore DOMAIN', 'Withdraw an evacuation.', 1, _restore
+    ),
+    'evacuations': Command(
+        'evacuations',
+        'List evacuated failure domains and what still runs there.',
+        0,
+        _evacuations,
+    ),
     'events': Command('events', 'Print events as they happen.', 0, _events),
 }
 
--- a/jasminebeam/configuration/evacuation_key.py
+++ b/jasminebeam/configuration/evacuation_key.py
@@ -20,7 +20,6 @@
 # One key holds the whole set, so a change is one conditional write and needs
 # no deletion.
 KEY = OWN_PREFIX + 'evacuations'
-MAX_DOMAINS = 256
 
 
 class StoredEvacuations(msgspec.Struct, frozen=True):
@@ -33,7 +32,8 @@
     """
 
     domains: typing.Annotated[
-        tuple[inputs.Name, ...], msgspec.Meta(max_length=MAX_DOMAINS)
+        tuple[inputs.Name, ...],
+        msgspec.Meta(max_length=evacuations.MAX_DOMAINS),
     ] = ()
 
 
--- a/jasminebeam/configuration/evacuation_reader.py
+++ b/jasminebeam/configuration/evacuation_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import typing
 
 from jasminebeam.model import evacuations
@@ -12,13 +11,6 @@
     from jasminebeam.configuration import evacuations as directory
     from jasminebeam.store import store
 
-# Maximum number of evacuated domains. Other writers share the store, and the
-# set travels in one message.
-MAX_DOMAINS = 256
-
-# Names that the settings of a node allow for its failure domain.
-_DOMAIN = re.compile(r'[\w.:-]{1,64}')
-
 
 class EvacuationReader:
     """Follows the keys of which each evacuates one failure domain.
@@ -73,7 +65,7 @@
         domain = item.key.removeprefix(self._prefix)
         if item.deleted:
             self._domains.discard(domain)
-            return _DOMAIN.fullmatch(domain) is not None
+            return evacuations.is_domain(domain)
         if not self._is_acceptable(domain):
             self._refuse(item)
             return False
@@ -83,12 +75,15 @@
     def _is_acceptable(self, domain: str) -> bool:
         if domain in self._domains:
             return True
-        if len(self._domains) >= MAX_DOMAINS:
+        if len(self._domains) >= evacuations.MAX_DOMAINS:
             return False
-        return _DOMAIN.fullmatch(domain) is not None
+        return evacuations.is_domain(domain)
 
     def _refuse(self, item: store.KeyValue) -> None:
-        if item.key in self._refused or len(self._refused) >= MAX_DOMAINS:
+        if (
+            item.key in self._refused
+            or len(self._refused) >= evacuations.MAX_DOMAINS
+        ):
             return
         self._refused.add(item.key)
         self._log.write(events.Event.EVACUATION_REFUSED, key=item.key[:300])
--- a/jasminebeam/model/evacuations.py
+++ b/jasminebeam/model/evacuations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,3 +24,21 @@
 
 
 NO_EVACUATIONS = Evacuations()
+
+# Maximum number of evacuated domains. Other writers share the store, and the
+# set travels in one message.
+MAX_DOMAINS = 256
+
+# Names that the settings of a node allow for its failure domain.
+_DOMAIN = re.compile(r'[\w.:-]{1,64}')
+
+
+def is_domain(text: str) -> bool:
+    """Return True if a text may be the name of a failure domain.
+
+    Examples
+    --------
+    >>> is_domain('eu-1a'), is_domain('a/b'), is_domain('')
+    (True, False, False)
+    """
+    return _DOMAIN.fullmatch(text) is not None
--- a/jasminebeam/native_adapter.py
+++ b/jasminebeam/native_adapter.py
@@ -133,6 +133,9 @@
 
         from jasminebeam import clock
         from jasminebeam.configuration import changes
+        from jasminebeam.configuration import evacuation_editor
+        from jasminebeam.ingress import load_query
+        from jasminebeam.operators import evacuations
         from jasminebeam.operators import service
 
         node = self._node
@@ -144,6 +147,14 @@
             node,
             node.log,
             clock.monotonic_ms,
+            evacuations.EvacuationCalls(
+                evacuation_editor.EvacuationEditor(self._backend),
+                node.evacuations,
+                node.membership,
+                load_query.LoadQuery(
+                    node.routes, node.pool, clock.monotonic_ms
+                ),
+            ),
         )
         self._server = grpc_server.Server([handler])
         await self._server.start(
--- a/jasminebeam/operators/service.py
+++ b/jasminebeam/operators/service.py
@@ -22,9 +22,12 @@
     from jasminebeam.membership import task as membership_task
     from jasminebeam.model import services
     from jasminebeam.model import upstreams
+    from jasminebeam.operators import evacuations
     from jasminebeam.routing import table
     from jasminebeam.telemetry import events
 
+T = typing.TypeVar('T')
+
 _STATUS_BY_REJECTION = {
     'invalid': const.Status.INVALID_ARGUMENT,
     'conflict': const.Status.ABORTED,
@@ -59,6 +62,8 @@
         Source of the events that are streamed.
     clock : callable
         Returns the monotonic time in ms.
+    evacuation_calls : EvacuationCalls
+        Serves the calls that concern evacuations.
     """
 
     def __init__(
@@ -70,7 +75,9 @@
         drainer: UpstreamDrainer,
         log: events.EventLog,
         clock: typing.Callable[[], float],
+        evacuation_calls: evacuations.EvacuationCalls,
     ) -> None:
+        self._evacuations = evacuation_calls
         self._editor = editor
         self._service_directory = service_directory
         self._membership = membership
@@ -174,6 +181,23 @@
             operators_pb2.DrainUpstreamResponse(in_flight=in_flight)
         )
 
+    async def Evacuate(self, stream: server.Stream) -> None:
+        """Stop new requests to all upstreams of a failure domain."""
+        request = await _receive(stream)
+        _check_change(await self._evacuations.evacuate(request.domain))
+        await stream.send_message(await self._evacuations.state())
+
+    async def Restore(self, stream: server.Stream) -> None:
+        """Withdraw the evacuation of a failure domain."""
+        request = await _receive(stream)
+        _check_change(await self._evacuations.restore(request.domain))
+        await stream.send_message(await self._evacuations.state())
+
+    async def ListEvacuations(self, stream: server.Stream) -> None:
+        """Return the evacuated failure domains and their state."""
+        await _receive(stream)
+        await stream.send_message(await self._evacuations.state())
+
     async def WatchEvents(self, stream: server.Stream) -> None:
         """Stream events as they happen."""
         await _receive(stream)
@@ -193,15 +217,7 @@
     async def _answer_change(
         self, stream: server.Stream, change: changes.Change
     ) -> None:
-        if not isinstance(change, result.Success):
-            rejection = change.failure()
-            detail = rejection.detail
-            if rejection.current_revision:
-                detail += f' (current revision {rejection.current_revision})'
-            raise grpclib.GRPCError(
-                _STATUS_BY_REJECTION[rejection.kind], detail
-            )
-        revision = change.unwrap()
+        revision = _check_change(change)
         self._membership.adopt_revision(revision)
         await stream.send_message(convert.revision_to_message(revision))
 
@@ -236,6 +252,25 @@
         )
 
 
+def _check_change(
+    change: result.Result[T, changes.Rejection],
+) -> T:
+    """Return what a change has written.
+
+    Raises
+    ------
+    GRPCError
+        If the change was rejected.
+    """
+    if isinstance(change, result.Success):
+        return change.unwrap()
+    rejection = change.failure()
+    detail = rejection.detail
+    if rejection.current_revision:
+        detail += f' (current revision {rejection.current_revision})'
+    raise grpclib.GRPCError(_STATUS_BY_REJECTION[rejection.kind], detail)
+
+
 async def _receive(stream: server.Stream) -> typing.Any:
     request = await stream.recv_message()
     if request is None:
--- a/tests/test_configuration/test_evacuations.py
+++ b/tests/test_configuration/test_evacuations.py
@@ -129,7 +129,7 @@
 def test_number_of_evacuated_domains_was_unbounded():
     """Keys beyond the limit are ignored, the others stay in force."""
     reading = Reading()
-    count = evacuation_reader.MAX_DOMAINS
+    count = model.MAX_DOMAINS
     items = tuple(_item(f'd{n}', n + 1) for n in range(count + 9))
     reading.reader.on_listing(store.Listing(count + 9, items))
     assert len(reading.adopted[0][1]) == count
--- a/tests/test_ingress/test_evacuation.py
+++ b/tests/test_ingress/test_evacuation.py
@@ -8,6 +8,7 @@
 import pytest
 
 from jasminebeam.configuration import evacuations
+from jasminebeam.ingress import load_query
 from jasminebeam.model import evacuations as model
 from jasminebeam.model import upstreams
 from jasminebeam.routing import evacuation
@@ -114,6 +115,23 @@
     assert {result.reason for result in results} == {verdict.Reason.NONE}
 
 
+def test_running_requests_of_an_evacuated_domain_were_not_shown(cluster):
+    """Operators see what still runs, and which sidecars do not answer."""
+    cluster.evacuate('a', 'c')
+    cluster.servers['b'].upstream.blocked = asyncio.Event()
+    cluster.send(cluster.call())
+    cluster.run(0.02)
+    cluster.evacuate('b')
+    cluster.servers['c'].faults.refuse = True
+    cluster.servers['c'].cut()
+    query = load_query.LoadQuery(
+        cluster.routes, cluster.pool, cluster.loop.now_ms
+    )
+    members = [server.member for server in cluster.servers.values()]
+    running = cluster.result(cluster.loop.create_task(query.read(members)))
+    assert running == {'a': 0, 'b': 1, 'c': None}
+
+
 def _state(node_id, domain):
     member = upstreams.Member(node_id, node_id, domain, 'r', 1, 1)
     return table.UpstreamState(member, 1.0)
--- a/tests/test_operators/test_ctl.py
+++ b/tests/test_operators/test_ctl.py
@@ -153,3 +153,32 @@
     missing = await ctl.run('create', '/does/not/exist')
     assert missing[0] == 2
     assert 'No such file' in missing[2]
+
+
+async def test_evacuation_by_the_command_line(ctl):
+    """Domains are evacuated, listed and restored; repetitions change nothing.
+
+    Values that are no domain are refused, and so are changes that the store
+    does not confirm.
+    """
+    revisions = set()
+    for _ in range(2):
+        status, output, _ = await ctl.run('evacuate', 'eu-1a')
+        assert status == 0
+        assert 'eu-1a' in output
+        revisions.add(ctl.node.evacuations.revision)
+    assert len(revisions) == 1
+    assert ctl.node.evacuations.domains == {'eu-1a'}
+    status, output, _ = await ctl.run('--json', 'evacuations')
+    (listed,) = json.loads(output)
+    assert listed['domain'] == 'eu-1a'
+    assert listed['running'] == 0
+    status, _, errors = await ctl.run('evacuate', 'a/b')
+    assert (status, 'a/b' in errors) == (2, True)
+    status, _, _ = await ctl.run('restore', 'eu-1a')
+    assert status == 0
+    assert ctl.node.evacuations.domains == frozenset()
+    await ctl.store.set_faults(stand_in_store.Faults(down=True))
+    status, _, _ = await ctl.run('evacuate', 'eu-1a')
+    assert status == 4
+    assert ctl.node.evacuations.domains == frozenset()
