--- a/tests/test_store/test_etcd.py
+++ b/tests/test_store/test_etcd.py
@@ -76,6 +76,25 @@
     await watching.aclose()
 
 
+async def test_deletion_did_not_reach_the_watcher(tested, server):
+    """A deletion is yielded with its own revision, after the writes.
+
+    Only the last change of one response is not followed by more.
+    """
+    lease = (await tested.grant_lease(10)).unwrap()
+    await tested.compare_and_set('/a/1', 0, b'x', lease)
+    await tested.compare_and_set('/a/2', 0, b'y')
+    await server.expire_lease(lease)
+    watching = tested.watch('/a/', 1)
+    found = [await anext(watching) for _ in range(3)]
+    await watching.aclose()
+    assert [item.key for item in found] == ['/a/1', '/a/2', '/a/1']
+    assert [item.deleted for item in found] == [False, False, True]
+    assert [item.more for item in found] == [True, True, False]
+    revisions = [item.revision for item in found]
+    assert revisions == sorted(set(revisions))
+
+
 async def test_watch_ends_when_the_store_goes_down(tested, server):
     """The iterator ends, so that a relay can list the keys again."""
     await tested.compare_and_set('/a/1', 0, b'x')
