Limit the memory and the connections of abusive callers at the ingress

A node collected each body in a bytearray up to the limit and copied it once more; nothing limited the sum over connections, and bodies that stood still were kept without a time limit. Very small chunks occupied the event loop.

A pure module (admission/byte_budget.py) divides 0.75 of the host's memory, less the needs of the process, among bodies and connections. A large body of declared length gets all its room before it is read, a chunked one in steps of 1 MiB; until then its connection is not read. An eighth is reserved for bodies up to 64 KiB and for connections. A body ends at its deadline (408), if it stands still for 1 s while others wait (408), or after a wait of 3 s (503, all not run). A refused body is read no further; its caller has 1 s to read the response. Beyond the limits of bytes and descriptors, connections without a running request are closed: by bytes and time without progress.

Bodies above 64 KiB are in anonymous mappings, which grow without a copy and are returned as a whole; bytearray copies when it grows, and its heap stays fragmented. They are written to the upstream in parts. Connections with finely chunked bodies parse one after the other, one an iteration of the event loop; ending them was ruled out, because a single such body is within the limits. A body that has arrived with its header takes no further turn of the event loop.

test_endless_requests.py lets a connection take its turns while it feeds it; what it checks is unchanged.

--- a/jasminebeam/callers/connections.py
+++ b/jasminebeam/callers/connections.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import http
-import re
 import typing
 
 from aiohttp import http_parser
@@ -12,10 +11,13 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from jasminebeam.admission import byte_budget
+from jasminebeam.callers import framing
 from jasminebeam.callers import pipelining
+from jasminebeam.callers import room as room_module
 
 if typing.TYPE_CHECKING:
-    from jasminebeam.model import routes
+    from jasminebeam.callers import processor as processor_module
 
 # The server closes an idle connection by this margin later than the idle
 # timeout. A caller with the same timeout then stops reusing the connection
@@ -34,44 +36,28 @@
 # it is collected.
 PART_BYTES = 4 * 1024
 
-# Bytes of chunk framing beyond the length of the body. Each chunk costs the
-# parser the same, however short it is.
+# Bytes of chunk framing beyond the length of the body; each chunk costs work.
 CHUNK_OVERHEAD_BYTES = 16 * 1024
 
-_HEADER_END = b'\r\n\r\n'
-_BLANK_LINES = re.compile(rb'[\r\n]*')
+# Bytes of a body that the parser may hold ahead of its reader, and memory of
+# each part of a body besides its bytes.
+READ_AHEAD_BYTES = 64 * 1024
+BODY_PART_BYTES = 96
 
+# A connection that holds more is closed even if it has a running request.
+MAX_BUSY_BYTES = 256 * 1024
 
-class RequestProcessor(typing.Protocol):
-    """Answers the requests of all connections."""
+# Bytes of finely chunked data that are parsed in one turn. At 16 bytes a
+# chunk this takes about a millisecond.
+TURN_BYTES = 16 * 1024
 
-    @property
-    def limits(self) -> routes.CallerLimits:
-        """Limits in force."""
-
-    @property
-    def stopping(self) -> bool:
-        """True while connections are closed with their next response."""
+# Data is finely chunked if its framing exceeds this share of the body.
+FINE_FRAMING_RATIO = 1 / 16
 
-    def now_ms(self) -> float:
-        """Return the monotonic time."""
-
-    def is_idempotent(self, message: pipelining.Message) -> bool:
-        """Return True if the request of a message may run more than once."""
-
-    async def respond(
-        self, request: web.BaseRequest, arrived_ms: float
-    ) -> web.StreamResponse:
-        """Return the response to a request."""
-
-    def on_oversized(self, received_bytes: int) -> None:
-        """Record a request whose bytes exceed all limits."""
-
-    def on_error(self, status: int, error: BaseException | None) -> None:
-        """Record a malformed request or a failed handler."""
-
-    def on_unread(self, unread_bytes: int) -> None:
-        """Record an answer that the caller does not read."""
+# Time that a refused caller has to read its response, while nothing more is
+# read from it. Closing at once would reset the connection, and the response
+# could be lost.
+LINGER_S = 1.0
 
 
 class LimitedConnection(web_protocol.RequestHandler):
@@ -90,7 +76,7 @@
     def __init__(
         self,
         manager: LimitedServer,
-        processor: RequestProcessor,
+        processor: processor_module.RequestProcessor,
         **options: typing.Any,
     ) -> None:
         limits = processor.limits
@@ -102,14 +88,21 @@
             **options,
         )
         self._processor = processor
+        self._room = manager.room
+        self.progress_ms = processor.now_ms()
+        # Bytes that count against the budget, besides the body that is read.
+        self.held_bytes = byte_budget.CONNECTION_BYTES
+        # Reasons for not reading.
+        self._is_held = False
+        self._waits_for_turn = False
+        self._is_refused = False
         self._header_timer: asyncio.TimerHandle | None = None
         self._pipeline = pipelining.PipelinedRequests(
-            processor.respond, processor.is_idempotent
+            processor.respond, processor.is_idempotent, self._count_held
         )
         # Body of the last message that arrived.
         self._last_payload = streams.EMPTY_PAYLOAD
-        # Bytes of an incomplete header, or of a message whose body is not
-        # complete.
+        # Bytes of an incomplete header, or message with an incomplete body.
         self._message_bytes = 0
         # Data behind requests, or a body, that wait for their turn.
         self._unparsed = b''
@@ -119,7 +112,19 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data; limit the time and the size of an incomplete message."""
-        data, self._unparsed = self._unparsed + data, b''
+        if data:
+            self.progress_ms = self._processor.now_ms()
+        self._parse_parts(self._unparsed + data)
+        if (
+            self._unparsed
+            or self._message_bytes > PART_BYTES
+            or len(self._messages) > 1
+            or self.held_bytes > byte_budget.CONNECTION_BYTES
+        ):
+            self._count_held()
+
+    def _parse_parts(self, data: bytes) -> None:
+        self._unparsed = b''
         end = 0
         while not end or end < len(data):
             if self._has_malformed:
@@ -128,29 +133,119 @@
             if self._force_close:
                 return
             if self._is_full():
-                # The base class has paused reading.
                 self._unparsed = data[end:]
                 return
             start, end = end, self._part_end(data, end)
             self._parse(data[start:end])
             if not data:
                 return
+            if end >= TURN_BYTES and self._is_finely_chunked():
+                self._unparsed = data[end:]
+                self._wait_for_turn()
+                return
 
     def _is_full(self) -> bool:
         """Return True if requests, or a body, wait for their turn."""
         return (
             self._reading_paused
+            or self._is_held
+            or self._waits_for_turn
             or len(self._messages) >= self._max_msg_queue_size
         )
 
+    def _is_finely_chunked(self) -> bool:
+        """Return True if the body arrives in very small chunks."""
+        body = self._last_payload
+        if body.is_eof() or self.transport is None:
+            return False
+        framing_bytes = self._message_bytes - body.total_bytes
+        return framing_bytes > FINE_FRAMING_RATIO * self._message_bytes
+
+    def _wait_for_turn(self) -> None:
+        """Parse on once others have had their turn."""
+        self._waits_for_turn = True
+        self._pause_transport_reading()
+        self._room.turns.wait(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._waits_for_turn = False
+        self._read_on()
+
+    def hold_reading(self) -> None:
+        """Read and parse no more until `release_reading`."""
+        self._is_held = True
+        self._pause_transport_reading()
+
+    def release_reading(self) -> None:
+        """Read on."""
+        self._is_held = False
+        self._read_on()
+
+    def refuse_rest(self) -> None:
+        """Drop what has arrived; read no more of a refused request."""
+        self._is_refused = True
+        self._lingering_time = 0.0
+        self._pause_transport_reading()
+        self._release_buffers()
+        self._count_held()
+
+    def _read_on(self) -> None:
+        if self.transport is None:
+            return
+        if not self._reading_paused:
+            # The parser may hold data, too.
+            self.data_received(b'')
+        if not (self._reading_paused or self._buffer_paused):
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not (self._is_held or self._waits_for_turn or self._is_refused):
+            super()._resume_transport_reading()
+
+    @property
+    def is_closable(self) -> bool:
+        """True unless a complete request is running and little is held.
+
+        Answers to pipelined requests wait for the one before them.
+        """
+        request = self._current_request
+        if (
+            self._paused
+            or self._is_refused
+            or self.held_bytes > MAX_BUSY_BYTES
+        ):
+            return True
+        if request is None:
+            return not self._messages
+        return not request.content.is_eof()
+
+    def give_up(self) -> None:
+        """Close the connection at once, to make room for others."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _count_held(self) -> None:
+        """Count what the connection holds besides the body that is read."""
+        held_bytes = byte_budget.CONNECTION_BYTES + len(self._unparsed)
+        held_bytes += self._pipeline.held_bytes(len(self._messages))
+        if not self._last_payload.is_eof():
+            body = self._last_payload
+            held_bytes += body._size + BODY_PART_BYTES * len(body._buffer)
+        else:
+            held_bytes += self._message_bytes
+        if self.transport is not None and self._paused:
+            held_bytes += self.transport.get_write_buffer_size()
+        before, self.held_bytes = self.held_bytes, held_bytes
+        self._room.hold(self, held_bytes - before)
+
     def _part_end(self, data: bytes, start: int) -> int:
         """Return the end of the bytes to parse next."""
         limit = min(len(data), start + PART_BYTES)
         if not self._last_payload.is_eof():
             return limit
-        # If a message is malformed, the parser drops all messages of the
-        # same data. Parsing each header by itself keeps those before it.
-        return _header_end(data, start, limit)
+        # If a message is malformed, the parser drops all messages of the same
+        # data. Parsing each header by itself keeps those before it.
+        return framing.header_end(data, start, limit)
 
     def _drop(self, size_bytes: int) -> None:
         """Drop what follows a malformed request.
@@ -163,10 +258,13 @@
             self.transport.pause_reading()
 
     def _parse(self, data: bytes) -> None:
+        if self._is_refused:
+            return
         before = self._request_count
         in_body = not self._last_payload.is_eof()
         super().data_received(data)
         arrived = self._request_count - before
+        self._pipeline.on_bytes(len(data), arrived, len(self._messages))
         if arrived:
             self._on_messages(arrived)
         if arrived or (in_body and self._last_payload.is_eof()):
@@ -188,21 +286,43 @@
         response = await self._pipeline.respond(
             request, message, self._processor.now_ms()
         )
+        if self._is_refused:
+            await self._send_refusal(request, response)
         # A response that closes the connection tells the caller that the
         # requests behind it did not run.
         if self._processor.stopping and not self._pipeline.started:
             response.force_close()
         return response
 
+    async def _send_refusal(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Send a response whose request is not read to its end."""
+        response.force_close()
+        await response.prepare(request)
+        await response.write_eof()
+        if self.transport is not None:
+            self.transport.write_eof()
+            await asyncio.sleep(LINGER_S)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection; others are closed if there are too many."""
+        super().connection_made(transport)
+        self._room.on_opened(self)
+
     def pause_writing(self) -> None:
         """Check from now on whether the caller reads its answer."""
         super().pause_writing()
+        self.progress_ms = self._processor.now_ms()
+        self._count_held()
         self._check_unread_later(self.transport.get_write_buffer_size(), 0)
 
     def resume_writing(self) -> None:
         """Stop the checks: the caller has read most of its answer."""
         self._stop_unread_timer()
         super().resume_writing()
+        self.progress_ms = self._processor.now_ms()
+        self._count_held()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timers and the requests when the connection ends."""
@@ -211,6 +331,7 @@
         self._pipeline.cancel()
         self._release_buffers()
         super().connection_lost(exc)
+        self._room.on_closed(self)
 
     def _release_buffers(self) -> None:
         """Free unread data, which cycles of references would keep longer."""
@@ -254,10 +375,16 @@
             self._processor.now_ms(),
         )
         self._last_payload = arrived[-1][1]
+        if not self._last_payload.is_eof():
+            self._last_payload._high_water = READ_AHEAD_BYTES
+            self._last_payload._low_water = READ_AHEAD_BYTES // 2
         current = self._current_request
         self._start_pipelined(None if current is None else current._message)
 
     def _start_pipelined(self, current: pipelining.Message | None) -> None:
+        if self._paused:
+            # The caller does not read the answers that it has.
+            return
         if self._messages and not self._processor.stopping:
             self._pipeline.start_waiting(
                 current, self._messages, self._create_request
@@ -296,8 +423,8 @@
 
     def _process_keepalive(self) -> None:
         # The idle timeout may have been raised since the connection opened.
-        limits = self._processor.limits
-        idle_s = limits.idle_timeout_ms / 1_000 + IDLE_MARGIN_S
+        idle_ms = self._processor.limits.idle_timeout_ms
+        idle_s = idle_ms / 1_000 + IDLE_MARGIN_S
         started_s = self._next_keepalive_close_time - self._keepalive_timeout
         self._next_keepalive_close_time = max(
             self._next_keepalive_close_time, started_s + idle_s
@@ -317,6 +444,8 @@
         """Abort the connection if the caller has stopped reading."""
         unread_bytes = self.transport.get_write_buffer_size()
         unchanged = unchanged + 1 if unread_bytes == before_bytes else 0
+        if not unchanged:
+            self.progress_ms = self._processor.now_ms()
         if unchanged < UNREAD_CHECKS:
             self._check_unread_later(unread_bytes, unchanged)
             return
@@ -335,22 +464,6 @@
             self._header_timer = None
 
 
-def _header_end(data: bytes, start: int, limit: int) -> int:
-    """Return where the header that begins at `start` may end.
-
-    Examples
-    --------
-    >>> _header_end(b'one\\r\\n\\r\\ntwo', 0, 10)
-    7
-    >>> _header_end(b'one\\r\\n\\r\\ntwo', 7, 10)
-    10
-    """
-    # Blank lines may precede a request; they are no header.
-    first = _BLANK_LINES.match(data, start, limit).end() if start else 0
-    end = data.find(_HEADER_END, first, limit)
-    return limit if end < 0 else end + len(_HEADER_END)
-
-
 class LimitedServer(web.Server):
     """Creates a `LimitedConnection` for each connection of a caller.
 
@@ -358,9 +471,16 @@
     ----------
     processor : RequestProcessor
         Answers the requests and provides the limits.
+    room : ConnectionRoom or None
+        Limits the connections together; None for a limit of its own.
     """
 
-    def __init__(self, processor: RequestProcessor) -> None:
+    def __init__(
+        self,
+        processor: processor_module.RequestProcessor,
+        room: room_module.ConnectionRoom | None = None,
+    ) -> None:
+        self.room = room or room_module.default_room(processor.now_ms)
         super().__init__(
             _respond,
             handler_cancellation=True,
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -11,9 +11,13 @@
 from aiohttp import hdrs
 from aiohttp import web
 
+from jasminebeam.admission import byte_budget
+from jasminebeam import body_buffer
 from jasminebeam.callers import authentication
+from jasminebeam.callers import bodies
 from jasminebeam.callers import connections
 from jasminebeam.callers import dialect as dialect_module
+from jasminebeam.callers import room
 from jasminebeam.ingress import backoff
 from jasminebeam.ingress import elapsed
 from jasminebeam.model import requests
@@ -29,9 +33,6 @@
     from jasminebeam.routing import probing
     from jasminebeam.telemetry import metrics
 
-# Maximum number of connections that wait to be accepted; large enough for
-# a burst in which all callers connect at the same time.
-BACKLOG = 1_024
 STOP_POLL_S = 0.01
 MAX_ERROR_CHARS = 200
 # The parser's errors quote what the caller has sent, as bytes. The quotation
@@ -68,6 +69,8 @@
     configuration_state : callable
         Returns whence and how recently the node knows its configuration, as
         fields for the log.
+    sweeper : BudgetSweeper
+        Room of bodies and connections together.
     """
 
     def __init__(
@@ -83,7 +86,13 @@
         counters: metrics.Metrics,
         is_running: typing.Callable[[str], bool],
         configuration_state: typing.Callable[[], dict[str, object]],
+        sweeper: bodies.BudgetSweeper,
     ) -> None:
+        self._bodies = bodies.BodyReader(sweeper, self._on_body_ended)
+        self._room = room.ConnectionRoom(
+            sweeper.budget, clock, self._on_connections_closed
+        )
+        self._backlog = sweeper.budget.limits.backlog
         self._configuration_state = configuration_state
         self._is_running = is_running
         self._matcher = matcher
@@ -103,10 +112,10 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers."""
-        server = connections.LimitedServer(self)
+        server = connections.LimitedServer(self, self._room)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
+        site = web.TCPSite(self._runner, host, port, backlog=self._backlog)
         await site.start()
 
     async def stop(self, grace_s: float, end_ms: float) -> None:
@@ -172,6 +181,24 @@
         self._counters.caller_errors.labels('unread').inc()
         self._log.write(events.Event.ANSWER_UNREAD, unread_bytes=unread_bytes)
 
+    def _on_body_ended(
+        self, cause: byte_budget.Cause, received_bytes: int
+    ) -> None:
+        self._counters.caller_errors.labels(f'body_{cause}').inc()
+        self._log.write(
+            events.Event.BODY_GIVEN_UP,
+            cause=cause.value,
+            received_bytes=received_bytes,
+        )
+
+    def _on_connections_closed(self, count: int, freed_bytes: int) -> None:
+        self._counters.caller_errors.labels('closed').inc(count)
+        self._log.write(
+            events.Event.CONNECTIONS_CLOSED,
+            count=count,
+            freed_bytes=freed_bytes,
+        )
+
     async def respond(
         self, request: web.BaseRequest, arrived_ms: float
     ) -> web.StreamResponse:
@@ -196,6 +223,15 @@
                 challenge = authentication.CHALLENGE
                 response.headers[hdrs.WWW_AUTHENTICATE] = challenge
             return response
+        except bodies.BodyEndedError as error:
+            request.protocol.refuse_rest()
+            return self._refuse_ended(error.cause)
+        except bodies.BodyTooLargeError as error:
+            request.protocol.refuse_rest()
+            self._counters.caller_errors.labels('413').inc()
+            return self._dialect.write_problem(
+                dialect_module.Problem(413, 'body too large', str(error))
+            )
         finally:
             self._in_progress -= 1
 
@@ -207,7 +243,7 @@
             return self._refuse_unmatched(request)
         identity = self._identify(request, match)
         revision = self._matcher.revision
-        body = await self._read_body(request)
+        body = await self._read_body(request, match, started_ms)
         if self._matcher.revision != revision:
             # The body may have taken longer than a change.
             match = self._match(request)
@@ -304,26 +340,42 @@
             404, 'no such service', 'no route matches'
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        if not request.body_exists:
-            return b''
-        limit_bytes = self.limits.body_bytes
-        length = request.content_length
-        if length is not None and length > limit_bytes:
-            raise _too_large(limit_bytes)
-        body = bytearray()
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > limit_bytes:
-                raise _too_large(limit_bytes)
-        return bytes(body)
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        match: routes.RouteMatch,
+        started_ms: float,
+    ) -> body_buffer.Body:
+        limit_bytes = self._bodies.limit_bytes(self.limits.body_bytes)
+        body = self._bodies.read_arrived(request, limit_bytes)
+        if body is not None:
+            return body
+        timeout_ms: float = match.timeout_ms
+        time_left_ms = self._dialect.read(request).time_left_ms
+        if time_left_ms is not None:
+            timeout_ms = min(timeout_ms, time_left_ms)
+        return await self._bodies.read(
+            request, limit_bytes, started_ms + timeout_ms
+        )
+
+    def _refuse_ended(self, cause: byte_budget.Cause) -> web.Response:
+        """Return the response to a request whose body was given up."""
+        if cause is byte_budget.Cause.NO_ROOM:
+            retry_after_ms = backoff.retry_after_ms(
+                byte_budget.MAX_WAIT_MS, self._generator.random()
+            )
+            result = verdict.not_run(verdict.Reason.NO_MEMORY)
+            return self._dialect.write_verdict(result, retry_after_ms)
+        return self._dialect.write_problem(
+            dialect_module.Problem(408, 'body incomplete', cause.value)
+        )
 
     def _create_call(
         self,
         request: web.BaseRequest,
         match: routes.RouteMatch,
         identity: authentication.Identity,
-        body: bytes,
+        body: body_buffer.Body,
         started_ms: float,
     ) -> requests.Call:
         metadata = self._dialect.read(request)
@@ -360,12 +412,6 @@
         )
 
 
-def _too_large(limit_bytes: int) -> dialect_module.ProblemError:
-    return dialect_module.ProblemError(
-        413, 'body too large', f'at most {limit_bytes} bytes'
-    )
-
-
 def _team_outcome(result: verdict.Verdict) -> str:
     """Return the outcome under which a team's request is counted."""
     if result.reason is verdict.Reason.TEAM_LIMITED:
--- a/jasminebeam/callers/pipelining.py
+++ b/jasminebeam/callers/pipelining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing
 
 from aiohttp import http_parser
@@ -17,6 +18,10 @@
 # Requests of one connection that are processed at the same time.
 MAX_CONCURRENT = 4
 
+# Bodies of waiting responses above this size are counted as soon as they are
+# complete.
+MIN_HELD_BYTES = 16 * 1024
+
 
 class PipelinedRequests:
     """Requests of one connection that arrived before their turn.
@@ -33,13 +38,19 @@
         Processes a request, given its arrival time in ms.
     is_idempotent : callable
         Returns whether a request may run more than once.
+    on_held : callable
+        Called when a response waits for its turn.
     """
 
     def __init__(
         self,
         respond: Respond,
         is_idempotent: typing.Callable[[Message], bool],
+        on_held: typing.Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_held = on_held
+        # Sizes of the last messages that wait, with their bodies.
+        self._sizes: collections.deque[int] = collections.deque()
         self._respond = respond
         self._is_idempotent = is_idempotent
         self._arrivals_ms: dict[int, float] = {}
@@ -50,6 +61,36 @@
         """Number of requests that have started before their turn."""
         return len(self._tasks)
 
+    def on_bytes(self, size_bytes: int, arrived: int, waiting: int) -> None:
+        """Record bytes of messages that wait for their turn.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Number of bytes parsed.
+        arrived : int
+            Messages whose headers were complete with them.
+        waiting : int
+            Messages that wait, with these.
+        """
+        if waiting < 2:
+            if self._sizes:
+                self._sizes.clear()
+        elif arrived:
+            self._sizes.extend([size_bytes // arrived] * arrived)
+        elif self._sizes:
+            self._sizes[-1] += size_bytes
+
+    def held_bytes(self, waiting: int) -> int:
+        """Return the bytes of waiting messages and of their responses."""
+        while len(self._sizes) > waiting:
+            self._sizes.popleft()
+        return sum(self._sizes) + sum(map(_body_bytes, self._tasks.values()))
+
+    def _on_done(self, task: asyncio.Task[web.StreamResponse]) -> None:
+        if _body_bytes(task) > MIN_HELD_BYTES:
+            self._on_held()
+
     def on_arrival(
         self, messages: typing.Iterable[Message], now_ms: float
     ) -> None:
@@ -85,9 +126,11 @@
                 return
             if not is_next and id(message) not in self._tasks:
                 request = create_request(message, payload)
-                self._tasks[id(message)] = asyncio.ensure_future(
+                task = asyncio.ensure_future(
                     self._respond(request, self._arrivals_ms[id(message)])
                 )
+                task.add_done_callback(self._on_done)
+                self._tasks[id(message)] = task
             is_next = False
 
     def _may_start(
@@ -116,3 +159,11 @@
             task.cancel()
         self._tasks.clear()
         self._arrivals_ms.clear()
+
+
+def _body_bytes(task: asyncio.Task[web.StreamResponse]) -> int:
+    """Return the size of the response of a task that has one."""
+    if not task.done() or task.cancelled() or task.exception() is not None:
+        return 0
+    body = getattr(task.result(), 'body', None)
+    return len(body) if isinstance(body, (bytes, bytearray)) else 0
--- a/jasminebeam/model/requests.py
+++ b/jasminebeam/model/requests.py
@@ -26,8 +26,9 @@
         HTTP method and request target (path and query).
     headers : Headers
         End-to-end headers.
-    body : bytes
-        Complete request body.
+    body : bytes or memoryview
+        Complete request body; a view of memory that is freed with it if the
+        body is large.
     idempotent : bool
         True if an operator declared the request idempotent.
     deadline_ms : float
@@ -57,7 +58,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: bytes | memoryview
     idempotent: bool
     deadline_ms: float
     key: str = ''
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -9,6 +9,7 @@
 
 from jasminebeam import adapters as adapters_module
 from jasminebeam.admission import rate_limit
+from jasminebeam.callers import bodies
 from jasminebeam.callers import http
 from jasminebeam import clock
 from jasminebeam.configuration import applied
@@ -37,6 +38,7 @@
 from jasminebeam.quotas import limiter
 from jasminebeam.quotas import task as team_limit_task
 from jasminebeam.routing import evacuation
+from jasminebeam import process_limits
 from jasminebeam.routing import policies
 from jasminebeam.routing import probing
 from jasminebeam.routing import scoring
@@ -143,6 +145,9 @@
         self.metrics.store_age.set_function(self._applied.store_age_s)
         self._servers: list[adapters_module.Server] = []
         self._stopping = False
+        self._sweeper = bodies.BudgetSweeper(
+            process_limits.byte_budget_of(node_section), clock.monotonic_ms
+        )
         self._response_budget = http_client.ByteBudget(client.MAX_HELD_BYTES)
 
     def _create_sidecar(self, boot_id: int) -> sidecar.Sidecar:
@@ -416,6 +421,7 @@
             self.metrics,
             self.sidecar.is_running,
             self._applied.fields,
+            self._sweeper,
         )
 
     def is_relay_candidate(self) -> bool:
--- a/jasminebeam/peering/sockets.py
+++ b/jasminebeam/peering/sockets.py
@@ -19,7 +19,10 @@
 HIGH_WATER_MARK = 1_000
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 CONNECT_TIMEOUT_MS = 1_000
+# Messages and bytes that are read before others have their turn. What large
+# messages cause, such as the writing of an answer, starts only then.
 MAX_READS_PER_WAKEUP = 64
+MAX_BYTES_PER_WAKEUP = 1024 * 1024
 
 
 class PolledSocket:
@@ -76,13 +79,17 @@
 
     def _read_messages(self) -> None:
         self._scheduled = False
+        read_bytes = 0
         for _ in range(MAX_READS_PER_WAKEUP):
             if self._closed:
                 return
+            if read_bytes > MAX_BYTES_PER_WAKEUP:
+                break
             try:
                 frames = self.socket.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
+            read_bytes += len(frames[-1])
             try:
                 self._on_frames(frames)
             except Exception:
--- a/jasminebeam/retries/policy.py
+++ b/jasminebeam/retries/policy.py
@@ -41,6 +41,7 @@
         verdict.Reason.NOT_READY,
         verdict.Reason.CONNECT_FAILED,
         verdict.Reason.EVACUATED,
+        verdict.Reason.NO_MEMORY,
     }
 )
 
--- a/jasminebeam/routing/table.py
+++ b/jasminebeam/routing/table.py
@@ -39,6 +39,7 @@
         verdict.Reason.KEY_CONFLICT,
         verdict.Reason.KEY_TABLE_FULL,
         verdict.Reason.EVACUATED,
+        verdict.Reason.NO_MEMORY,
     }
 )
 
--- a/jasminebeam/settings.py
+++ b/jasminebeam/settings.py
@@ -37,6 +37,11 @@
         Location of the host.
     stop_timeout_ms : int
         Maximum time that a graceful stop waits for requests in progress.
+    memory_mb : int
+        Memory of the host in units of 10^6 bytes; 0 if unknown.
+    max_descriptors : int
+        Descriptors that the process may open; 0 for the limit of the
+        operating system.
     """
 
     node_id: Name
@@ -44,6 +49,10 @@
     failure_domain: Name = 'default'
     region: Name = 'default'
     stop_timeout_ms: Milliseconds = 60_000
+    memory_mb: typing.Annotated[int, msgspec.Meta(ge=0, le=10_000_000)] = 0
+    max_descriptors: typing.Annotated[
+        int, msgspec.Meta(ge=0, le=10_000_000)
+    ] = 0
 
 
 class CallersSection(_Section):
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -172,6 +172,12 @@
     TEAM_SHED = EventKind(
         721, logbook.INFO, 'queued request refused in favour of another team'
     )
+    BODY_GIVEN_UP = EventKind(730, logbook.WARNING, 'request body given up')
+    CONNECTIONS_CLOSED = EventKind(
+        731,
+        logbook.WARNING,
+        'connections of callers closed to make room for others',
+    )
     TEAM_LIMITED = EventKind(
         740, logbook.INFO, 'team sends more than its rate limit'
     )
--- a/jasminebeam/upstreams/client.py
+++ b/jasminebeam/upstreams/client.py
@@ -10,6 +10,8 @@
 import typing
 
 import aiohttp
+from aiohttp import abc
+from aiohttp import payload
 import multidict
 import yarl
 
@@ -52,6 +54,10 @@
     {verdict.Reason.WRONG_ANSWER, verdict.Reason.WRONG_UPSTREAM}
 )
 
+# A larger body is written in parts of this size, so that the transport never
+# holds more of it.
+WRITTEN_PART_BYTES = 64 * 1024
+
 _KEEP_ALIVE = re.compile(r'timeout=([0-9]{1,9})')
 
 
@@ -346,7 +352,7 @@
             headers=self._dialect.request_headers(
                 call, timeout_ms, self.announcement
             ),
-            data=call.body or None,
+            data=_payload_of(call.body),
             allow_redirects=False,
         ) as response:
             protocol = _current_protocol.get()
@@ -447,3 +453,29 @@
     if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
         return False
     return protocol.was_reset
+
+
+class _LargeBody(payload.Payload):
+    """Body that is written in parts, without a copy of the whole."""
+
+    def __init__(self, value: bytes | memoryview) -> None:
+        super().__init__(value)
+        self._size = len(value)
+
+    def decode(self, encoding: str = 'utf-8', errors: str = 'strict') -> str:
+        """Return the body as text."""
+        return bytes(self._value).decode(encoding, errors)
+
+    async def write(self, writer: abc.AbstractStreamWriter) -> None:
+        """Write the body; wait until the upstream takes each part."""
+        view = memoryview(self._value)
+        for start in range(0, len(view), WRITTEN_PART_BYTES):
+            await writer.write(view[start : start + WRITTEN_PART_BYTES])
+
+
+def _payload_of(
+    body: bytes | memoryview,
+) -> bytes | memoryview | _LargeBody | None:
+    if len(body) > WRITTEN_PART_BYTES:
+        return _LargeBody(body)
+    return body or None
--- a/jasminebeam/verdict.py
+++ b/jasminebeam/verdict.py
@@ -57,6 +57,7 @@
     ANSWER_TRUNCATED = 'answer_truncated'
     EVACUATED = 'evacuated'
     TEAM_LIMITED = 'team_limited'
+    NO_MEMORY = 'no_memory'
 
 
 SERVER_ERROR_STATUS = 500
--- a/tests/test_callers/test_endless_requests.py
+++ b/tests/test_callers/test_endless_requests.py
@@ -92,9 +92,18 @@
             return start
         connection.data_received(data[start : start + block_bytes])
         await asyncio.sleep(0)
+        await _take_turns(connection)
     return len(data)
 
 
+async def _take_turns(connection):
+    """Let a connection parse all that it holds back for other connections."""
+    for _ in range(SENT_BYTES // connections.TURN_BYTES):
+        if not connection._waits_for_turn:
+            return
+        await asyncio.sleep(0)
+
+
 @pytest.mark.parametrize('block_bytes', [100, 4_096, 256 * 1024])
 @pytest.mark.parametrize(
     ('beginning', 'repeated'),
