Send large requests between nodes in parts, within the budget of the sidecar

Frames between nodes end at 2 MiB. A larger request closed the connection, with all requests on it, and its caller got 504. Requests below that were held as a frame, a message and a body, in the queues of both nodes, without a limit.

A body above 256 KiB is announced (LargeRequest), and the sidecar allows its parts of 64 KiB (BodyCredit, BodyPart) once it has reserved room for the whole, 256 KiB ahead. Without room it refuses at once, as not run, and the ingress turns to another upstream. The sidecar gets the request when it is complete; a body that stops ends as not run, at its deadline or after 1 s if others need room. Requests up to 256 KiB are sent as before, byte for byte.

The registry knows a request from its announcement on. Without that, later requests of the session that ended in the meantime made it look like a duplicate (a test shows it). Ruled out: raising the limit of frames, which leaves several copies, and one session for each body, whose identity would have to be translated in revocations.

--- a/jasminebeam/admission/byte_budget.py
+++ b/jasminebeam/admission/byte_budget.py
@@ -188,6 +188,8 @@
         self._waiting: collections.OrderedDict[Claim, None] = (
             collections.OrderedDict()
         )
+        # Whether a claim was refused since the last sweep.
+        self._has_refused = False
 
     @property
     def excess_bytes(self) -> int:
@@ -231,6 +233,7 @@
         """Enlarge a claim; end it without a call if there is no room."""
         if self.request(claim, size_bytes, now_ms):
             return True
+        self._has_refused = True
         self.release(claim, now_ms)
         return False
 
@@ -266,12 +269,13 @@
         for claim in list(self._incomplete):
             cause = self._end_cause(claim, now_ms)
             if cause is not None:
-                self._end(claim, cause, now_ms)
+                self._end(claim, cause)
         if self._is_blocked():
             holders = [claim for claim in self._waiting if claim.granted_bytes]
-            self._end(holders[-1], Cause.NO_ROOM, now_ms)
+            self._end(holders[-1], Cause.NO_ROOM)
+        self._has_refused = False
 
-    def _end(self, claim: Claim, cause: Cause, now_ms: float) -> None:
+    def _end(self, claim: Claim, cause: Cause) -> None:
         self._incomplete.pop(claim, None)
         self._waiting.pop(claim, None)
         claim.on_ended(cause)
@@ -283,7 +287,8 @@
             waited_ms = now_ms - claim.waiting_since_ms
             return Cause.NO_ROOM if waited_ms > MAX_WAIT_MS else None
         silent_ms = now_ms - claim.progress_ms
-        if self._waiting and silent_ms > PROGRESS_TIMEOUT_MS:
+        others_wait = self._waiting or self._has_refused
+        if others_wait and silent_ms > PROGRESS_TIMEOUT_MS:
             return Cause.NO_PROGRESS
         return None
 
--- a/jasminebeam/callers/bodies.py
+++ b/jasminebeam/callers/bodies.py
@@ -10,9 +10,7 @@
 
 from jasminebeam.admission import byte_budget
 from jasminebeam import body_buffer
-
-# Interval of the checks for bodies that are late or make no progress.
-SWEEP_INTERVAL_S = 0.25
+from jasminebeam import budget_sweeper
 
 
 class BodyTooLargeError(Exception):
@@ -53,53 +51,6 @@
         """Read on."""
 
 
-class BudgetSweeper:
-    """Checks the incomplete bodies of a budget while there are any.
-
-    Parameters
-    ----------
-    budget : ByteBudget
-        Room of all bodies.
-    clock : callable
-        Returns the monotonic time in ms.
-    """
-
-    def __init__(
-        self,
-        budget: byte_budget.ByteBudget,
-        clock: typing.Callable[[], float],
-    ) -> None:
-        self.budget = budget
-        self.clock = clock
-        self._timer: asyncio.TimerHandle | None = None
-
-    def start(self) -> None:
-        """Check from now on until no body is incomplete."""
-        if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(
-                SWEEP_INTERVAL_S, self._sweep
-            )
-
-    def release_later(
-        self, loop: asyncio.AbstractEventLoop, claim: byte_budget.Claim
-    ) -> None:
-        """Return the room of a freed body in the next turn of the loop.
-
-        The garbage collector may free a body in the midst of a decision.
-        """
-        if not loop.is_closed():
-            loop.call_soon(self._release, claim)
-
-    def _release(self, claim: byte_budget.Claim) -> None:
-        self.budget.release(claim, self.clock())
-
-    def _sweep(self) -> None:
-        self._timer = None
-        self.budget.sweep(self.clock())
-        if self.budget.has_incomplete:
-            self.start()
-
-
 class BodyReader:
     """Reads bodies; each is held once.
 
@@ -114,7 +65,7 @@
 
     def __init__(
         self,
-        sweeper: BudgetSweeper,
+        sweeper: budget_sweeper.BudgetSweeper,
         on_ended: typing.Callable[[byte_budget.Cause, int], None],
     ) -> None:
         self._sweeper = sweeper
@@ -175,7 +126,7 @@
     def __init__(
         self,
         request: web.BaseRequest,
-        sweeper: BudgetSweeper,
+        sweeper: budget_sweeper.BudgetSweeper,
         limit_bytes: int,
         deadline_ms: float,
     ) -> None:
--- a/jasminebeam/callers/http.py
+++ b/jasminebeam/callers/http.py
@@ -13,6 +13,7 @@
 
 from jasminebeam.admission import byte_budget
 from jasminebeam import body_buffer
+from jasminebeam import budget_sweeper
 from jasminebeam.callers import authentication
 from jasminebeam.callers import bodies
 from jasminebeam.callers import connections
@@ -86,7 +87,7 @@
         counters: metrics.Metrics,
         is_running: typing.Callable[[str], bool],
         configuration_state: typing.Callable[[], dict[str, object]],
-        sweeper: bodies.BudgetSweeper,
+        sweeper: budget_sweeper.BudgetSweeper,
     ) -> None:
         self._bodies = bodies.BodyReader(sweeper, self._on_body_ended)
         self._room = room.ConnectionRoom(
--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -9,7 +9,6 @@
 
 from jasminebeam import adapters as adapters_module
 from jasminebeam.admission import rate_limit
-from jasminebeam.callers import bodies
 from jasminebeam.callers import http
 from jasminebeam import clock
 from jasminebeam.configuration import applied
@@ -29,16 +28,17 @@
 from jasminebeam.model import upstreams
 from jasminebeam import native_adapter
 from jasminebeam.peering import control
+from jasminebeam.peering import downloads
 from jasminebeam.peering import endpoint
 from jasminebeam.peering import messages
 from jasminebeam.peering import pool
 from jasminebeam.peering import token_messages
+from jasminebeam import process_limits
 from jasminebeam.quotas import dispatcher as limited_dispatcher
 from jasminebeam.quotas import fleet_size
 from jasminebeam.quotas import limiter
 from jasminebeam.quotas import task as team_limit_task
 from jasminebeam.routing import evacuation
-from jasminebeam import process_limits
 from jasminebeam.routing import policies
 from jasminebeam.routing import probing
 from jasminebeam.routing import scoring
@@ -71,8 +71,6 @@
 _DATA_TYPES = (
     messages.Hello,
     messages.Request,
-    messages.Cancel,
-    messages.Revoke,
     messages.Probe,
     messages.AdmissionQuery,
     messages.Ping,
@@ -145,8 +143,8 @@
         self.metrics.store_age.set_function(self._applied.store_age_s)
         self._servers: list[adapters_module.Server] = []
         self._stopping = False
-        self._sweeper = bodies.BudgetSweeper(
-            process_limits.byte_budget_of(node_section), clock.monotonic_ms
+        self._sweeper = process_limits.create_sweeper(
+            node_section, clock.monotonic_ms
         )
         self._response_budget = http_client.ByteBudget(client.MAX_HELD_BYTES)
 
@@ -358,6 +356,9 @@
             token_messages.TYPES, self._team_limits.receive
         )
         server.register_handler(_DATA_TYPES, self._on_data)
+        downloads.Downloads(
+            self.sidecar, self._sweeper, self.log, self.metrics
+        ).register(server)
         server.register_handler(
             messages.CONTROL_TYPES, self.membership.receive
         )
--- a/jasminebeam/peering/links.py
+++ b/jasminebeam/peering/links.py
@@ -70,6 +70,9 @@
         Called once with the link and a `LinkLoss`.
     """
 
+    # Whether messages travel in frames, which limits their size.
+    carries_frames = True
+
     def __init__(
         self,
         transport: Transport,
@@ -170,6 +173,7 @@
     """
 
     address = 'local'
+    carries_frames = False
     state = LinkState.READY
 
     def __init__(
--- a/jasminebeam/peering/messages.py
+++ b/jasminebeam/peering/messages.py
@@ -7,6 +7,7 @@
 from jasminebeam.model import services
 from jasminebeam.model import upstreams
 from jasminebeam.peering import base
+from jasminebeam.peering import body_messages
 from jasminebeam.peering import cold_messages
 from jasminebeam.peering import evacuation_messages
 from jasminebeam.peering import token_messages
@@ -456,6 +457,9 @@
     | WatchReportAck
     | TeamRequest
     | TeamAdmissionQuery
+    | body_messages.LargeRequest
+    | body_messages.BodyCredit
+    | body_messages.BodyPart
     | token_messages.TokenRequest
     | token_messages.TokenGrant
     | token_messages.TokenCollection
--- a/jasminebeam/peering/peers.py
+++ b/jasminebeam/peering/peers.py
@@ -7,10 +7,12 @@
 import typing
 
 from jasminebeam.model import requests
+from jasminebeam.peering import body_messages
 from jasminebeam.peering import calls
 from jasminebeam.peering import cold_messages
 from jasminebeam.peering import links
 from jasminebeam.peering import messages
+from jasminebeam.peering import uploads
 from jasminebeam.telemetry import events
 from jasminebeam import verdict
 
@@ -132,6 +134,7 @@
         self._recovering: dict[tuple[int, int], Attempt] = {}
         self._pings: dict[int, float] = {}
         self._queries: dict[int, _Query] = {}
+        self._uploads = uploads.Uploads()
         self._nonce = 0
         # True if a notice has arrived since the last load sample.
         self._has_new_notice = False
@@ -150,6 +153,9 @@
             messages.AdmissionReply: self._on_admission_reply,
             messages.UpstreamNotice: self._on_upstream_notice,
             cold_messages.ColdNotice: self._on_cold_notice,
+            body_messages.BodyCredit: lambda credit: self._uploads.on_credit(
+                self._link, credit
+            ),
         }
 
     @property
@@ -319,8 +325,9 @@
         identity = calls.RequestIdentity(
             attempt.boot_id, attempt.session, attempt.sequence
         )
-        sent_bytes = link.send(
-            calls.request(attempt.call, identity, attempt.max_wait_ms, now_ms)
+        sent_bytes = self._uploads.send(
+            link,
+            calls.request(attempt.call, identity, attempt.max_wait_ms, now_ms),
         )
         if not sent_bytes:
             self._sent.pop(request_id, None)
@@ -431,6 +438,7 @@
 
     def _pop_attempt(self, session: int, sequence: int) -> Attempt | None:
         request_id = (session, sequence)
+        self._uploads.drop(session, sequence)
         attempt = self._sent.pop(request_id, None)
         if attempt is None:
             attempt = self._recovering.pop(request_id, None)
@@ -449,6 +457,7 @@
             return
         now_ms = self._clock()
         self._link = None
+        self._uploads.clear()
         self._pings.clear()
         for query in list(self._queries.values()):
             query.reply.cancel()
--- a/jasminebeam/sidecar/sidecar.py
+++ b/jasminebeam/sidecar/sidecar.py
@@ -13,6 +13,7 @@
 from jasminebeam.peering import messages
 from jasminebeam.retries import registry
 from jasminebeam.sidecar import active_requests
+from jasminebeam.sidecar import announced
 from jasminebeam.sidecar import cold_checks
 from jasminebeam.sidecar import condition
 from jasminebeam.sidecar import execution
@@ -96,6 +97,7 @@
             counters,
             clock,
         )
+        self.announced = announced.AnnouncedRequests(self._execution.registry)
         self._cold_checks = cold_checks.ColdChecks(
             self._slots,
             self.check_health,
@@ -376,7 +378,7 @@
             reason = verdict.Reason.WRONG_INCARNATION
             self._replies.refuse(request_id, reason, True, send)
             return
-        state = self._execution.registry.accept(request_id, now_ms)
+        state = self.announced.accept(request_id, now_ms)
         if state is not registry.State.NEW:
             self._execution.answer_from_state(request_id, state, send)
             return
--- a/jasminebeam/telemetry/events.py
+++ b/jasminebeam/telemetry/events.py
@@ -178,6 +178,9 @@
         logbook.WARNING,
         'connections of callers closed to make room for others',
     )
+    PEER_BODY_GIVEN_UP = EventKind(
+        732, logbook.WARNING, 'request body of a peer given up'
+    )
     TEAM_LIMITED = EventKind(
         740, logbook.INFO, 'team sends more than its rate limit'
     )
