--- a/jasminebeam/body_buffer.py
+++ b/jasminebeam/body_buffer.py
@@ -27,7 +27,7 @@
 
     def __init__(self, room_bytes: int) -> None:
         self.length_bytes = 0
-        self._mapping = mmap.mmap(
+        self._mapping: mmap.mmap | None = mmap.mmap(
             -1, room_bytes, flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS
         )
 
@@ -47,16 +47,17 @@
         self.length_bytes = end
 
     def finish(self, on_freed: typing.Callable[[], None]) -> memoryview:
-        """Return the body.
+        """Return the body; the buffer no longer refers to it.
 
         Parameters
         ----------
         on_freed : callable
             Called once nothing refers to the body any more.
         """
-        freed = weakref.finalize(self._mapping, on_freed)
+        mapping, self._mapping = self._mapping, None
+        freed = weakref.finalize(mapping, on_freed)
         freed.atexit = False
-        return memoryview(self._mapping)[: self.length_bytes].toreadonly()
+        return memoryview(mapping)[: self.length_bytes].toreadonly()
 
     def discard(self) -> None:
         """Free the memory of an incomplete body."""
