--- a/jasminebeam/node.py
+++ b/jasminebeam/node.py
@@ -28,10 +28,12 @@
 from jasminebeam.model import upstreams
 from jasminebeam import native_adapter
 from jasminebeam.peering import control
+from jasminebeam.peering import downloads
 from jasminebeam.peering import endpoint
 from jasminebeam.peering import messages
 from jasminebeam.peering import pool
 from jasminebeam.peering import token_messages
+from jasminebeam import process_limits
 from jasminebeam.quotas import dispatcher as limited_dispatcher
 from jasminebeam.quotas import fleet_size
 from jasminebeam.quotas import limiter
@@ -69,8 +71,6 @@
 _DATA_TYPES = (
     messages.Hello,
     messages.Request,
-    messages.Cancel,
-    messages.Revoke,
     messages.Probe,
     messages.AdmissionQuery,
     messages.Ping,
@@ -143,6 +143,9 @@
         self.metrics.store_age.set_function(self._applied.store_age_s)
         self._servers: list[adapters_module.Server] = []
         self._stopping = False
+        self._sweeper = process_limits.create_sweeper(
+            node_section, clock.monotonic_ms
+        )
         self._response_budget = http_client.ByteBudget(client.MAX_HELD_BYTES)
 
     def _create_sidecar(self, boot_id: int) -> sidecar.Sidecar:
@@ -353,6 +356,9 @@
             token_messages.TYPES, self._team_limits.receive
         )
         server.register_handler(_DATA_TYPES, self._on_data)
+        downloads.Downloads(
+            self.sidecar, self._sweeper, self.log, self.metrics
+        ).register(server)
         server.register_handler(
             messages.CONTROL_TYPES, self.membership.receive
         )
@@ -416,6 +422,7 @@
             self.metrics,
             self.sidecar.is_running,
             self._applied.fields,
+            self._sweeper,
         )
 
     def is_relay_candidate(self) -> bool:
