--- a/bench/soak/platform_fleet.py
+++ b/bench/soak/platform_fleet.py
@@ -344,8 +344,6 @@
             'appAddr': f'127.0.0.1:{host.upstream_port}',
             'service': host.service,
             'platform.address': f'127.0.0.1:{self._store_port}',
-            'limits.memoryMb': 0,
-            'limits.maxFds': 0,
         }
         text = TEMPLATE.read_text()
         for placeholder, value in values.items():
--- a/jasminebeam/platform/program.py
+++ b/jasminebeam/platform/program.py
@@ -50,7 +50,7 @@
 
     def reload(self) -> None:
         """Apply a changed file; keep the current settings if it is invalid."""
-        loaded = settings.load(self._path)
+        loaded = settings.load(self._path, os.environ)
         if not isinstance(loaded, result.Success):
             self._node.log.write(
                 events.Event.SETTINGS_REFUSED, cause=loaded.failure()
@@ -103,7 +103,7 @@
     # Prints the stacks of all threads if a native library aborts.
     faulthandler.enable()
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
-    loaded = settings.load(path)
+    loaded = settings.load(path, os.environ)
     if not isinstance(loaded, result.Success):
         print(f'invalid settings: {loaded.failure()}', file=sys.stderr)
         return EXIT_INVALID_SETTINGS
--- a/jasminebeam/platform/settings.py
+++ b/jasminebeam/platform/settings.py
@@ -6,6 +6,8 @@
 import dataclasses
 import io
 import pathlib
+import types
+import typing
 
 import msgspec
 from returns import result
@@ -15,6 +17,14 @@
 
 SECTION = 'adapter'
 
+# Variables of the environment by which the platform names the limits of the
+# host, and the keys of the section [node] that they set unless the file does.
+_HOST_LIMITS = {
+    'JASMINEBEAM_MEMORY_MB': 'memory_mb',
+    'JASMINEBEAM_MAX_DESCRIPTORS': 'max_descriptors',
+}
+_NO_ENVIRONMENT: typing.Mapping[str, str] = types.MappingProxyType({})
+
 
 class AdapterSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Section of the settings that only the adapter uses.
@@ -55,12 +65,24 @@
     adapter: AdapterSection
 
 
-def load(path: pathlib.Path) -> result.Result[PlatformSettings, str]:
-    """Return the settings in a file, or an error message."""
-    return settings.read(path).bind(parse)
+def load(
+    path: pathlib.Path, environment: typing.Mapping[str, str]
+) -> result.Result[PlatformSettings, str]:
+    """Return the settings in a file, or an error message.
 
+    Parameters
+    ----------
+    path : Path
+        INI file.
+    environment : mapping
+        Environment of the process, which names the limits of the host.
+    """
+    return settings.read(path).bind(lambda text: parse(text, environment))
 
-def parse(text: str) -> result.Result[PlatformSettings, str]:
+
+def parse(
+    text: str, environment: typing.Mapping[str, str] = _NO_ENVIRONMENT
+) -> result.Result[PlatformSettings, str]:
     """Return the settings in an INI text, or an error message."""
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -83,6 +105,7 @@
     except (msgspec.ValidationError, ValueError) as error:
         return result.Failure(f'[{SECTION}] {error}')
     parser.remove_section(SECTION)
+    _add_host_limits(parser, environment)
     parser['callers'] = {
         **(dict(parser['callers']) if 'callers' in parser else {}),
         'host': callers.host,
@@ -93,3 +116,14 @@
     return settings.parse(native_sections.getvalue()).map(
         lambda node: PlatformSettings(node, adapter)
     )
+
+
+def _add_host_limits(
+    parser: configparser.ConfigParser, environment: typing.Mapping[str, str]
+) -> None:
+    if 'node' not in parser:
+        return
+    for variable, key in _HOST_LIMITS.items():
+        value = environment.get(variable, '')
+        if value and key not in parser['node']:
+            parser['node'][key] = value
--- a/review/harness.py
+++ b/review/harness.py
@@ -233,8 +233,6 @@
             'ip': '127.0.0.1',
             'zone': self.zone,
             'region': 'nordeste-ce',
-            'limits.memoryMb': 0,
-            'limits.maxFds': 0,
             'internalPorts.0': self.peers,
             'internalPorts.1': self.metrics,
             'listen.outbound': f'127.0.0.1:{self.outbound}',
--- a/tests/bounded_hosts.py
+++ b/tests/bounded_hosts.py
@@ -123,8 +123,6 @@
             'appAddr': f'127.0.0.1:{ports.free_port()}',
             'service': service,
             'platform.address': f'127.0.0.1:{self.store.port}',
-            'limits.memoryMb': self.memory_mb,
-            'limits.maxFds': self.descriptors,
         }
         text = platform_cluster.TEMPLATE.read_text()
         for placeholder, value in values.items():
@@ -140,7 +138,11 @@
             sys.executable,
             '-m',
             'jasminebeam.platform',
-            environment={program.SETTINGS_VARIABLE: str(path)},
+            environment={
+                program.SETTINGS_VARIABLE: str(path),
+                'JASMINEBEAM_MEMORY_MB': str(self.memory_mb),
+                'JASMINEBEAM_MAX_DESCRIPTORS': str(self.descriptors),
+            },
         )
         limits = (self.descriptors, self.descriptors)
         process_id = self._processes.process_id(name)
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -95,8 +95,6 @@
             'appAddr': f'127.0.0.1:{ports.free_port()}',
             'service': service,
             'platform.address': f'127.0.0.1:{self.store.port}',
-            'limits.memoryMb': 0,
-            'limits.maxFds': 0,
         }
         text = TEMPLATE.read_text()
         for placeholder, value in values.items():
--- a/tests/test_platform/test_program.py
+++ b/tests/test_platform/test_program.py
@@ -144,3 +144,21 @@
         # The address `nowhere.0.0.1:PORT` would be valid.
         changed = changed.replace('nowhere.0.0.1:', 'nowhere')
     assert named in settings.parse(changed).failure()
+
+
+async def test_limits_of_the_host_were_unknown(cluster):
+    """The environment names the limits unless the file does."""
+    text = cluster.settings_text('n0')
+    environment = {
+        'JASMINEBEAM_MEMORY_MB': '200',
+        'JASMINEBEAM_MAX_DESCRIPTORS': '4100',
+    }
+    node = settings.parse(text, environment).unwrap().node.node
+    assert (node.memory_mb, node.max_descriptors) == (200, 4_100)
+    text = text.replace('[node]', '[node]\nmemory_mb = 300')
+    node = settings.parse(text, environment).unwrap().node.node
+    assert (node.memory_mb, node.max_descriptors) == (300, 4_100)
+    node = settings.parse(text).unwrap().node.node
+    assert (node.memory_mb, node.max_descriptors) == (300, 0)
+    refused = settings.parse(text, {'JASMINEBEAM_MAX_DESCRIPTORS': 'many'})
+    assert 'max_descriptors' in refused.failure()
