--- a/tests/test_platform/test_team_limits.py
+++ b/tests/test_platform/test_team_limits.py
@@ -33,7 +33,8 @@
 @pytest.fixture
 async def cluster(monkeypatch):
     """Provide two nodes whose fleet size has been known for some time."""
-    monkeypatch.setattr('jasminebeam.quotas.fleet_size.SETTLE_MS', 100.0)
+    monkeypatch.setattr('jasminebeam.quotas.fleet_size.JOIN_MS', 100.0)
+    monkeypatch.setattr('jasminebeam.quotas.fleet_size.YOUNG_MS', 100.0)
     monkeypatch.setattr('jasminebeam.quotas.limit.WINDOW_MS', 100.0)
     created = platform_cluster.Cluster()
     await created.start()
