Let a returning domain serve requests that all others refuse

Under overload the other domains refused requests while its upstreams were idle: in virtual time six of six requests were refused with both other domains busy, and none now.

The upstreams that are left out for this step are queried if none of the others accepts. What attracts the load of all nodes, the first choice, stays limited. Ruled out: larger shares, which bring the oscillation back.

--- a/jasminebeam/ingress/admission_client.py
+++ b/jasminebeam/ingress/admission_client.py
@@ -119,6 +119,7 @@
         self,
         call: requests.Call,
         ranked: typing.Sequence[table.UpstreamState],
+        last_resort: typing.Sequence[table.UpstreamState] = (),
     ) -> Recommendation:
         """Return where to send a call.
 
@@ -129,6 +130,8 @@
         ranked : sequence of UpstreamState
             Eligible upstreams, ordered by their cost according to the
             known load samples, the cheapest first.
+        last_resort : sequence of UpstreamState
+            Upstreams that are queried if none of the others accepts.
         """
         refusal_key = (call.service, call.route, call.team)
         started_ms = self._clock()
@@ -138,6 +141,10 @@
         replies = _Replies()
         try:
             queried = await self._query_in_batches(call, ranked, replies)
+            if last_resort and not replies.any_accepted:
+                queried += await self._query_in_batches(
+                    call, last_resort, replies
+                )
         finally:
             replies.cancel_pending()
         best = admission_estimates.choose(
--- a/jasminebeam/ingress/dispatcher.py
+++ b/jasminebeam/ingress/dispatcher.py
@@ -264,13 +264,15 @@
         """
         call = progress.call
         if not call.key:
-            ranked = self._selector.rank(
+            ranked, returning = self._selector.rank_with_returning(
                 progress.service,
                 progress.tried_nodes,
                 self._clocks.monotonic_ms(),
                 self._clocks.wall_ms(),
             )
-            recommendation = await self._admission.recommend(call, ranked)
+            recommendation = await self._admission.recommend(
+                call, ranked, returning
+            )
             if recommendation.refusal is not verdict.Reason.NONE:
                 self._request_log.all_refuse(call, recommendation)
                 return verdict.not_run(recommendation.refusal)
--- a/jasminebeam/routing/evacuation.py
+++ b/jasminebeam/routing/evacuation.py
@@ -49,6 +49,22 @@
         """Return True for a failure domain that gets no requests."""
         return domain in self._shares.domains
 
+    @property
+    def is_returning(self) -> bool:
+        """True if a domain may not have its normal share of load yet."""
+        return self._shares.is_returning
+
+    def outside(
+        self, states: typing.Iterable[table.UpstreamState]
+    ) -> list[table.UpstreamState]:
+        """Return the upstreams that are in no evacuated domain."""
+        evacuated = self._shares.domains
+        return [
+            state
+            for state in states
+            if state.member.failure_domain not in evacuated
+        ]
+
     def admitted(
         self, states: list[table.UpstreamState], now_ms: float
     ) -> list[table.UpstreamState]:
@@ -57,14 +73,9 @@
         A returning domain is offered to at most its share of the requests,
         unless there are no other upstreams.
         """
-        evacuated = self._shares.domains
-        if evacuated:
-            states = [
-                state
-                for state in states
-                if state.member.failure_domain not in evacuated
-            ]
-        if not self._shares.is_returning:
+        if self._shares.domains:
+            states = self.outside(states)
+        if not self.is_returning:
             return states
         counts = collections.Counter(
             state.member.failure_domain for state in states
--- a/jasminebeam/routing/selection.py
+++ b/jasminebeam/routing/selection.py
@@ -151,16 +151,55 @@
             ranked += policy.rank(limited, now_ms, wall_ms)
         return ranked
 
+    def rank_with_returning(
+        self,
+        service: services.Service,
+        tried: abc.Collection[str],
+        now_ms: float,
+        wall_ms: float,
+    ) -> tuple[list[table.UpstreamState], list[table.UpstreamState]]:
+        """Return the upstreams for the next attempt, and a last resort.
+
+        Load pattern: the other domains are overloaded while a domain returns
+        step by step. A request that all of them refuse may use the upstreams
+        that `rank` has left out for this step. The parameters are those of
+        `choose`.
+        """
+        ranked = self.rank(service, tried, now_ms, wall_ms)
+        if (
+            self._evacuated is None
+            or not self._evacuated.is_returning
+            or not ranked
+        ):
+            return ranked, []
+        excluded = {*tried, *(state.member.node_id for state in ranked)}
+        ready = self._evacuated.outside(self._ready(service))
+        left_out = self._eligible(service, ready, excluded, now_ms)
+        policy = self._policies[service.policy]
+        return ranked, policy.rank(left_out, now_ms, wall_ms)
+
     def _candidates(
         self,
         service: services.Service,
         tried: abc.Collection[str],
         now_ms: float,
     ) -> list[table.UpstreamState]:
-        members = self._routes.subset_of(service.name, service.subset_size)
-        ready = [state for state in members if _is_ready(state)]
+        ready = self._ready(service)
         if self._evacuated is not None:
             ready = self._evacuated.admitted(ready, now_ms)
+        return self._eligible(service, ready, tried, now_ms)
+
+    def _ready(self, service: services.Service) -> list[table.UpstreamState]:
+        members = self._routes.subset_of(service.name, service.subset_size)
+        return [state for state in members if _is_ready(state)]
+
+    def _eligible(
+        self,
+        service: services.Service,
+        ready: list[table.UpstreamState],
+        tried: abc.Collection[str],
+        now_ms: float,
+    ) -> list[table.UpstreamState]:
         candidates = eligible(ready, service.max_ejected_ratio, now_ms)
         untried = [
             state for state in candidates if state.member.node_id not in tried
--- a/tests/test_ingress/test_evacuation.py
+++ b/tests/test_ingress/test_evacuation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import dataclasses
 
 import pytest
 
@@ -176,6 +177,31 @@
     assert {result.outcome for result in results} == {verdict.Outcome.ANSWERED}
 
 
+def test_withdrawn_domain_was_idle_while_others_refused(cluster):
+    """A request that the other domains refuse uses a returning one."""
+    cluster.evacuate('a')
+    cluster.evacuate()
+    for domain in ('b', 'c'):
+        server = cluster.servers[domain]
+        server.upstream.blocked = asyncio.Event()
+        peer = cluster.pool.peer(server.member.node_id, server.member.address)
+
+        async def submit(peer=peer):
+            peer.submit(cluster.call(timeout_ms=60_000.0), 1_000.0)
+
+        cluster.loop.run_until_complete(submit())
+    cluster.run(0.05)
+    for _ in range(6):
+        call = dataclasses.replace(
+            cluster.call(timeout_ms=60.0),
+            objective_ms=cluster.loop.now_ms() + 20.0,
+            route='r',
+        )
+        result = cluster.result(cluster.send(call))
+        assert result.outcome is verdict.Outcome.ANSWERED
+    assert _runs(cluster, 'a') == 6
+
+
 def test_subset_consisted_of_evacuated_upstreams():
     """The subset of a large service is chosen among the others."""
     routes = table.RoutingTable(table.Locality('ingress', 'a', 'r'))
