Show that a body without end in small chunks stops a node

Cause: the limit of framing never ends a response whose chunks have five bytes or more, and each chunk costs the parser; responses that end by their time-out do not suspend the target. The product is unchanged.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -294,6 +294,8 @@
         self.ports = self._free_ports()
         self.store = platform_store.PlatformStoreStandIn(self.ports['store'])
         self.targets: dict[str, Target] = {}
+        # Class of the target of a machine, if it is not `Target`.
+        self.target_types: dict[str, type[Target]] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.memory_mb = 300
         self.descriptors = 4_100
@@ -325,7 +327,8 @@
         for machine in self.machines:
             self.start_node(machine)
         for machine in self.machines:
-            target = Target(self, machine)
+            target_type = self.target_types.get(machine.name, Target)
+            target = target_type(self, machine)
             self.targets[machine.name] = target
             await target.start()
         await self.wait_ready()
