Find malformed responses of nodes in the soak, demo and experiments

What was missed: a node that passes on a malformed response.

Cause: the bench reads with aiohttp, whose parser is lenient; it is the client that hid the fault from the tests before as well.

Change: all HTTP sessions of the bench, of its control calls and of the stand-ins come from http_sessions.create and check what they receive; calls to the operators' interface go through operators.channel. The traffic records a malformed response as an outcome of its own, which no kill excuses and which counts as a wrong answer. This replaces the condition on the status.

tests/test_bench/test_traffic.py: the three tables of malformed responses failed before with 26, 21 and 24 responses that were no finding, and pass; a sound answer is accepted before and after. All of tests/test_bench passes.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,8 +12,6 @@
 import time
 import typing
 
-import aiohttp
-from grpclib import client as grpc_client
 from hdrh import histogram
 import tabulate
 import tqdm
@@ -21,12 +19,14 @@
 
 from bench import fleet
 from bench import guarantees
+from bench import http_sessions
 from bench import scrape
 from bench import sites
 from bench.standins import store
 from bench.standins import upstream
 from bench import traffic
 from jasminebeam.model import services
+from jasminebeam.operators import channel as channel_module
 from jasminebeam.operators import convert
 from jasminebeam.operators.generated import operators_grpc
 from jasminebeam.operators.generated import operators_pb2
@@ -114,7 +114,7 @@
     async def _measure_config_propagation(self) -> float:
         """Return the time in ms until a change is in force on all nodes."""
         host = self.fleet.hosts[0]
-        channel = grpc_client.Channel(host.address, host.operator_port)
+        channel = channel_module.Channel(host.address, host.operator_port)
         stub = operators_grpc.OperatorsStub(channel)
         try:
             current = await stub.GetService(
@@ -149,7 +149,7 @@
             (f'http://{host.address}:{host.caller_port}/-/load', through_node),
         )
         headers = {'Host': 'catalogo.example'}
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             for _ in range(LATENCY_REQUESTS):
                 for url, latencies in urls:
                     started_s = time.perf_counter()
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -12,7 +12,6 @@
 import time
 import typing
 
-from grpclib import client as grpc_client
 import msgspec
 
 from bench import fleet
@@ -24,6 +23,7 @@
 from bench.standins import upstream
 from bench import traffic
 from jasminebeam.model import services
+from jasminebeam.operators import channel as channel_module
 from jasminebeam.operators import convert
 from jasminebeam.operators.generated import operators_grpc
 from jasminebeam.operators.generated import operators_pb2
@@ -268,7 +268,7 @@
     async def _configure(self, variant: PolicyVariant) -> None:
         """Update all services to a policy variant."""
         host = self.fleet.hosts[0]
-        channel = grpc_client.Channel(host.address, host.operator_port)
+        channel = channel_module.Channel(host.address, host.operator_port)
         stub = operators_grpc.OperatorsStub(channel)
         try:
             for service in self.site.services:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,14 +12,15 @@
 import typing
 
 import aiohttp
-from grpclib import client as grpc_client
 import msgspec
 
+from bench import http_sessions
 from bench import processes
 from bench import sites
 from bench.standins import network
 from bench.standins import upstream
 from jasminebeam.model import services as model_services
+from jasminebeam.operators import channel as channel_module
 from jasminebeam.operators import convert
 from jasminebeam.operators.generated import operators_grpc
 from jasminebeam.operators.generated import operators_pb2
@@ -167,7 +168,7 @@
             Fields set on every service.
         """
         host = self.hosts[0]
-        channel = grpc_client.Channel(host.address, host.operator_port)
+        channel = channel_module.Channel(host.address, host.operator_port)
         stub = operators_grpc.OperatorsStub(channel)
         try:
             for service in self.site.services:
@@ -238,7 +239,7 @@
     async def metrics(self, host: Host) -> str:
         """Return a node's metrics in the Prometheus text format."""
         url = f'http://127.0.0.1:{host.announce_port}/metrics'
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             async with session.get(url) as response:
                 return await response.text()
 
@@ -369,7 +370,7 @@
                 await asyncio.sleep(0.1)
 
     async def _count_ready_upstreams(self, host: Host) -> int:
-        channel = grpc_client.Channel(host.address, host.operator_port)
+        channel = channel_module.Channel(host.address, host.operator_port)
         stub = operators_grpc.OperatorsStub(channel)
         try:
             response = await stub.ListUpstreams(
@@ -439,6 +440,6 @@
 
 async def post(url: str, body: bytes) -> None:
     """Post to a control address of a stand-in or a node."""
-    async with aiohttp.ClientSession() as session:
+    async with http_sessions.create() as session:
         async with session.post(url, data=body) as response:
             response.raise_for_status()
--- a/bench/pair.py
+++ b/bench/pair.py
@@ -17,6 +17,7 @@
 import uvloop
 
 from bench import fleet
+from bench import http_sessions
 from bench import sites
 from bench import traffic
 
@@ -64,7 +65,7 @@
         At rate 0, each call waits for the end of the previous one.
         """
         generator = random.Random(1)
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             for name in self._urls:
                 for _ in range(100):
                     await self._call(session, name, record=False)
--- a/bench/soak/native_fleet.py
+++ b/bench/soak/native_fleet.py
@@ -7,11 +7,11 @@
 import typing
 
 import grpclib
-from grpclib import client as grpc_client
 from grpclib import exceptions
 
 from bench import fleet
 from bench import traffic
+from jasminebeam.operators import channel as channel_module
 from jasminebeam.operators.generated import operators_grpc
 from jasminebeam.operators.generated import operators_pb2
 
@@ -78,7 +78,7 @@
     async def _operators(
         self, host: fleet.Host
     ) -> typing.AsyncIterator[operators_grpc.OperatorsStub]:
-        channel = grpc_client.Channel(host.address, host.operator_port)
+        channel = channel_module.Channel(host.address, host.operator_port)
         try:
             async with asyncio.timeout(OPERATOR_TIMEOUT_S):
                 yield operators_grpc.OperatorsStub(channel)
--- a/bench/soak/platform_fleet.py
+++ b/bench/soak/platform_fleet.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from bench import fleet
+from bench import http_sessions
 from bench import processes
 from bench import scrape
 from bench import sites
@@ -213,7 +214,7 @@
         }
         try:
             async with asyncio.timeout(CALLER_TIME_MS / 1_000):
-                async with aiohttp.ClientSession() as session:
+                async with http_sessions.create() as session:
                     async with session.get(
                         f'{url}{self._added_path()}', headers=headers
                     ) as response:
@@ -229,7 +230,7 @@
     async def store_calls(self) -> collections.Counter[str]:
         """Return the number of calls that the store has had, by kind."""
         url = f'{self.store_url}/-/calls'
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             async with session.get(url) as response:
                 return collections.Counter(await response.json())
 
@@ -390,7 +391,7 @@
         url = f'http://{host.address}:{host.operator_port}/metrics'
         try:
             async with asyncio.timeout(METRICS_TIMEOUT_S):
-                async with aiohttp.ClientSession() as session:
+                async with http_sessions.create() as session:
                     async with session.get(url) as response:
                         return await response.text()
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/bench/soak/team_fleet.py
+++ b/bench/soak/team_fleet.py
@@ -4,9 +4,9 @@
 
 import typing
 
-import aiohttp
 
 from bench import fleet
+from bench import http_sessions
 from bench import sites
 from bench.soak import operator_checks
 from bench.soak import platform_fleet
@@ -64,7 +64,7 @@
     async def arrivals(self, host: fleet.Host) -> operator_checks.Arrivals:
         """Return what an upstream has counted."""
         url = platform_fleet.control_url(host, 'arrivals')
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             async with session.get(url) as response:
                 counts = await response.json()
         return operator_checks.Arrivals(host.upstream_port, **counts)
--- a/bench/standins/platform_upstream.py
+++ b/bench/standins/platform_upstream.py
@@ -7,9 +7,9 @@
 import math
 import typing
 
-import aiohttp
 from aiohttp import web
 
+from bench import http_sessions
 from bench.soak import checks
 from bench.standins import endless
 from bench.standins import malformed
@@ -108,7 +108,7 @@
             state, born, overrides.get('sequence', self._sequence)
         )
         url = f'http://{address}/v1/instances/{self.upstream_id}'
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             async with session.put(url, json=document) as response:
                 return response.status
 
@@ -145,7 +145,7 @@
     async def send_leave_notice(self, address: str) -> int:
         """Deregister the upstream and return the status of the response."""
         url = f'http://{address}/v1/instances/{self.upstream_id}'
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             async with session.delete(url) as response:
                 return response.status
 
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 import msgspec
 
+from bench import http_sessions
 from bench.standins import endless
 from bench.standins import malformed
 from jasminebeam import clock
@@ -161,7 +162,7 @@
             'shed_header': SHED_HEADER,
             'load_path': '/-/load',
         }
-        async with aiohttp.ClientSession() as session:
+        async with http_sessions.create() as session:
             while True:
                 try:
                     async with session.post(
@@ -259,7 +260,7 @@
         if timeout_ms:
             headers['Jasminebeam-Timeout-Ms'] = timeout_ms
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = http_sessions.create()
         async with self._session.get(
             self._options.next_url, headers=headers
         ) as response:
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -13,11 +13,21 @@
 import aiohttp
 from hdrh import histogram
 
+from bench import http_sessions
+from jasminebeam import http_client
+
 VERDICT = 'Jasminebeam-Verdict'
 REASON = 'Jasminebeam-Reason'
 CUT = 'cut'
+MALFORMED = 'malformed'
 NOT_CONNECTED = 'not_connected'
 
+# The second one is for what the parser of aiohttp refuses by itself.
+_MALFORMED_ERRORS = (
+    http_client.MalformedResponseError,
+    aiohttp.ClientResponseError,
+)
+
 MAX_LATENCY_US = 60_000_000
 MAX_LAG_P99_MS = 20.0
 CALLER_TIMEOUT_S = 30.0
@@ -66,15 +76,16 @@
         Stream that the request belongs to.
     outcome : str
         Value of the verdict header, ``no_verdict`` for a response without
-        it, ``cut`` for a connection that broke or timed out before the
-        end of the response, or ``not_connected``.
+        it, ``malformed`` for bytes that are no response, ``cut`` for a
+        connection that broke or timed out before the end of the response,
+        or ``not_connected``.
     reason : str
         Value of the reason header, or the name of the client's error.
     status : int
         HTTP status; 0 if no response arrived.
     answer_matches : bool
         False if a response with status 200 belongs to another request, or
-        if the status is none of a final response.
+        if a response is malformed.
     latency_us : int
         Time since the scheduled arrival in microseconds.
     caller_port : int
@@ -192,13 +203,7 @@
     arrivals = schedule(streams, duration_s, seed)
     started_s = time.perf_counter()
     cpu_time_s = time.process_time()
-    async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
-        timeout=aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S),
-    ) as session:
-        # If aiohttp retried a request, the upstreams would count a second run
-        # of the request.
-        session._retry_connection = False
+    async with http_sessions.create(CALLER_TIMEOUT_S, 0) as session:
         tasks = set()
         reported_s = 0.0
         for number, (at_s, stream) in enumerate(arrivals):
@@ -265,10 +270,13 @@
             body = await response.read()
             status = response.status
             outcome, reason = dialect.outcome(response)
-            if status == 200 or not 200 <= status <= 599:
+            if status == 200:
                 answer_matches = body == request_id.encode()
     except aiohttp.ClientConnectorError:
         outcome = NOT_CONNECTED
+    except _MALFORMED_ERRORS as error:
+        outcome, reason = MALFORMED, type(error).__name__
+        answer_matches = False
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         reason = type(error).__name__
     latency_us = int((time.perf_counter() - due_s) * 1e6)
