--- a/tests/raw_answers.py
+++ b/tests/raw_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import re
 
@@ -258,6 +259,10 @@
     def __init__(self) -> None:
         super().__init__()
         self.answer = SOUND
+        # Other answers, by identifier of the request.
+        self.answers: dict[bytes, bytes] = {}
+        # Answers that are sent once their event is set, by identifier.
+        self.held: dict[bytes, asyncio.Event] = {}
         self.health = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
         self.runs: collections.Counter[bytes] = collections.Counter()
         # Whether an answer ends with its connection.
@@ -285,8 +290,11 @@
             )[1]
             self.runs[request_id] += 1
             self.reuses += was_malformed
-            was_malformed = self.answer not in ACCEPTED.values()
-            writer.write(self.answer.replace(REQUEST_ID, request_id))
+            answer = self.answers.get(request_id, self.answer)
+            if request_id in self.held:
+                await self.held[request_id].wait()
+            was_malformed = answer not in ACCEPTED.values()
+            writer.write(answer.replace(REQUEST_ID, request_id))
             await writer.drain()
-            if self.closes or self.answer.startswith(b'HTTP/1.0'):
+            if self.closes or answer.startswith(b'HTTP/1.0'):
                 return
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -69,6 +69,16 @@
         self.upstreams.append(upstream)
         return created
 
+    async def replace_upstream(self, index):
+        """Return an upstream that sends given bytes, in place of another."""
+        replaced = self.upstreams[index]
+        await replaced.stop()
+        raw = raw_answers.RawUpstream()
+        raw.port = replaced._options.port
+        await raw.start()
+        self.upstreams[index] = raw
+        return raw
+
     async def create_service(self):
         """Create the service ``fees`` and wait until all nodes know it."""
         channel = grpc_client.Channel(
@@ -151,11 +161,7 @@
     await cluster.add()
     await cluster.create_service()
     await wait_until(lambda: _knows_ready_upstreams(cluster.nodes[0], 1))
-    await cluster.upstreams[1].stop()
-    raw = raw_answers.RawUpstream()
-    raw.port = cluster.upstreams[1]._options.port
-    await raw.start()
-    cluster.upstreams[1] = raw
+    raw = await cluster.replace_upstream(1)
     malformed = {
         **raw_answers.MALFORMED_HEADS,
         **raw_answers.MALFORMED_FRAMING,
@@ -173,6 +179,33 @@
     assert not raw.reuses
 
 
+@pytest.mark.parametrize('index', [0, 1])
+async def test_malformed_answer_was_kept_for_an_idempotency_key(
+    cluster, index
+):
+    """Repetitions neither run nor get a part of it, nor a "not run"."""
+    await cluster.add(service='other')
+    await cluster.add()
+    await cluster.create_service()
+    await wait_until(lambda: _knows_ready_upstreams(cluster.nodes[0], 1))
+    raw = await cluster.replace_upstream(1)
+    names = ('status 999', 'control byte in value', 'status 000')
+    answers = [raw_answers.MALFORMED_HEADS[name] for name in names]
+    answers.append(raw_answers.MALFORMED_CHUNKS['blank behind the size'])
+    for number, answer in enumerate(answers):
+        request_id = f'r{number}'
+        headers = {'X-Request-Id': request_id, 'Idempotency-Key': request_id}
+        raw.answers = {request_id.encode(): answer}
+        for each in (index, 1 - index):
+            status, sent, body = await cluster.call(each, headers=headers)
+            assert status in (502, 504)
+            assert sent['Jasminebeam-Verdict'] == 'may-have-run'
+            assert raw_answers.BODY not in body
+            raw.answers.clear()
+        assert raw.runs[request_id.encode()] == 1
+        assert (await cluster.call(index))[0] == 200
+
+
 async def test_invalid_request_gets_a_specific_status(cluster):
     """Each kind of invalid request must get its own status.
 
