Find bytes of nodes that answer no request in the soak

A node that sends bytes behind a complete answer, such as a second one, was no finding: the client closes the connection and drops them. That was so with aiohttp's own sessions and with those that check responses.

Change: the traffic records such bytes as a malformed response without a request, which counts as a wrong answer.

--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -105,6 +105,10 @@
     due_s: float
 
 
+# Stands for the request that unsolicited bytes do not have.
+_UNSOLICITED = Stream('unsolicited', '', '', '', 0.0, True)
+
+
 @dataclasses.dataclass(slots=True)
 class Recorder:
     """Collects observations and the lag of the load generator in us."""
@@ -116,6 +120,22 @@
     cpu_time_s: float = 0.0
     wall_s: float = 0.0
 
+    def on_unsolicited(self, received_bytes: int) -> None:
+        """Record bytes of a node that answer no request."""
+        self.observations.append(
+            Observation(
+                '',
+                _UNSOLICITED,
+                MALFORMED,
+                f'{received_bytes} unsolicited bytes',
+                0,
+                False,
+                0,
+                0,
+                0.0,
+            )
+        )
+
     def outcomes(self) -> collections.Counter[str]:
         """Return the number of requests by outcome."""
         return collections.Counter(
@@ -203,7 +223,9 @@
     arrivals = schedule(streams, duration_s, seed)
     started_s = time.perf_counter()
     cpu_time_s = time.process_time()
-    async with http_sessions.create(CALLER_TIMEOUT_S, 0) as session:
+    async with http_sessions.create(
+        CALLER_TIMEOUT_S, 0, recorder.on_unsolicited
+    ) as session:
         tasks = set()
         reported_s = 0.0
         for number, (at_s, stream) in enumerate(arrivals):
--- a/tests/test_bench/test_traffic.py
+++ b/tests/test_bench/test_traffic.py
@@ -28,8 +28,8 @@
     await created.stop()
 
 
-async def _observe(node):
-    """Return the observation of the first request of a schedule."""
+async def _run(node):
+    """Return the observations of a schedule."""
     recorder = await traffic.run(
         [STREAM],
         lambda: traffic.IngressAddress('127.0.0.1', node.port),
@@ -37,18 +37,29 @@
         1,
         'r',
     )
-    return recorder.observations[0]
+    return recorder.observations
 
 
 async def test_sound_answer_was_refused(node):
     """The answer of a node is the identifier of the request."""
     request_id = b'r-browse-0'
     node.answer = SOUND % (len(request_id), request_id)
-    observation = await _observe(node)
-    assert (observation.outcome, observation.answer_matches) == (
-        'answered',
-        True,
+    observation, *_ = await _run(node)
+    assert observation.outcome == 'answered'
+    assert observation.answer_matches
+
+
+async def test_bytes_behind_an_answer_were_no_finding(node):
+    """They answer no request, though the answer before them is sound."""
+    request_id = b'r-browse-0'
+    answer = SOUND % (len(request_id), request_id)
+    node.answer = 2 * answer
+    violated = guarantees.violations(
+        await _run(node), collections.Counter(), lambda cut: True
     )
+    assert ('wrong_answers', f'{len(answer)} unsolicited bytes') in {
+        (guarantee, observation.reason) for guarantee, observation in violated
+    }
 
 
 @pytest.mark.parametrize(
@@ -58,7 +69,7 @@
     """Each violates a guarantee, whatever its status and content."""
     missed = []
     for name, node.answer in getattr(raw_answers, table).items():
-        observation = await _observe(node)
+        observation, *_ = await _run(node)
         violated = guarantees.violations(
             [observation], collections.Counter(), lambda cut: True
         )
