--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -124,15 +124,15 @@
         """Record bytes of a node that answer no request."""
         self.observations.append(
             Observation(
-                '',
-                _UNSOLICITED,
-                MALFORMED,
-                f'{received_bytes} unsolicited bytes',
-                0,
-                False,
-                0,
-                0,
-                0.0,
+                request_id='',
+                stream=_UNSOLICITED,
+                outcome=MALFORMED,
+                reason=f'{received_bytes} unsolicited bytes',
+                status=0,
+                answer_matches=False,
+                latency_us=0,
+                caller_port=0,
+                due_s=0.0,
             )
         )
 
